Add the call path between separate processes

Cause: nothing existed. A call has to travel caller, entry node, node of the target, target and back before any decision can be built on the path.

A target calls another service through its own node, in the context of the request that it is serving.

Checked: one control process, three nodes and two stand-in targets on loopback; a request through a third node was served two calls deep.

Conclusion: the path works. Admission, routing, settings, keys, rates and claims are still trivial.

--- /dev/null
+++ b/include/yuccastair/control/control.h
@@ -0,0 +1,29 @@
+// The control process: durable state, membership and sync with nodes.
+
+#ifndef YUCCASTAIR_CONTROL_CONTROL_H_
+#define YUCCASTAIR_CONTROL_CONTROL_H_
+
+#include <memory>
+
+#include "yuccastair/control/settings.h"
+
+namespace yuccastair::control {
+
+/// All threads and state of one control process.
+class Control {
+ public:
+  /// Starts the process. Throws Error if an address cannot be bound.
+  explicit Control(Settings settings);
+  ~Control();
+
+  Control(const Control&) = delete;
+  Control& operator=(const Control&) = delete;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace yuccastair::control
+
+#endif  // YUCCASTAIR_CONTROL_CONTROL_H_
--- /dev/null
+++ b/include/yuccastair/control/settings.h
@@ -0,0 +1,35 @@
+// Settings of a control process, read from its TOML file.
+
+#ifndef YUCCASTAIR_CONTROL_SETTINGS_H_
+#define YUCCASTAIR_CONTROL_SETTINGS_H_
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "yuccastair/support/address.h"
+#include "yuccastair/support/settings_file.h"
+
+namespace yuccastair::control {
+
+struct Settings {
+  std::string id;
+  std::string availability_zone;
+  /// Where nodes and other control processes connect.
+  support::Address peer_listen;
+  /// Where operators connect over HTTP.
+  support::Address operator_listen;
+  std::string data_dir;
+  /// Peer addresses of all control processes, this one included.
+  std::vector<support::Address> peers;
+  std::chrono::milliseconds member_expiry{};
+  std::string curve_public_key;
+  std::string curve_secret_key;
+};
+
+/// Reads the control part of a settings file; faults stay in \p file.
+Settings ReadSettings(support::SettingsFile& file);
+
+}  // namespace yuccastair::control
+
+#endif  // YUCCASTAIR_CONTROL_SETTINGS_H_
--- /dev/null
+++ b/include/yuccastair/support/clock.h
@@ -0,0 +1,39 @@
+// The clock that decisions read, so that tests can drive time by hand.
+
+#ifndef YUCCASTAIR_SUPPORT_CLOCK_H_
+#define YUCCASTAIR_SUPPORT_CLOCK_H_
+
+#include <chrono>
+
+namespace yuccastair::support {
+
+using TimePoint = std::chrono::steady_clock::time_point;
+using Duration = std::chrono::steady_clock::duration;
+
+/// A source of monotonic time.
+class Clock {
+ public:
+  virtual ~Clock() = default;
+  virtual TimePoint Now() const = 0;
+};
+
+/// The monotonic clock of the machine; clock steps do not affect it.
+class SteadyClock final : public Clock {
+ public:
+  TimePoint Now() const override { return std::chrono::steady_clock::now(); }
+};
+
+/// A clock that moves only when told to. Not safe for use by several threads.
+class ManualClock final : public Clock {
+ public:
+  TimePoint Now() const override { return now_; }
+  void Advance(Duration by) { now_ += by; }
+
+ private:
+  // Starts away from the epoch, so that subtracting a timeout stays positive.
+  TimePoint now_{std::chrono::hours(1)};
+};
+
+}  // namespace yuccastair::support
+
+#endif  // YUCCASTAIR_SUPPORT_CLOCK_H_
--- /dev/null
+++ b/lib/node/entry.cc
@@ -0,0 +1,217 @@
+// The life of a request at its entry node.
+
+#include "entry.h"
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string_view>
+#include <utility>
+
+#include "call_reply.h"
+#include "yuccastair/support/id.h"
+
+namespace yuccastair::node {
+namespace {
+
+constexpr std::string_view kAnnouncePath = "/yuccastair/announce";
+constexpr std::string_view kIdempotencyHeader = "Idempotency-Key";
+constexpr std::string_view kOwnHeaderPrefix = "x-yuccastair-";
+
+const char* OutcomeName(wire::Outcome outcome) {
+  switch (outcome) {
+    case wire::OUTCOME_OK:
+      return "ok";
+    case wire::OUTCOME_NOT_RUN:
+      return "not-run";
+    default:
+      return "unknown";
+  }
+}
+
+/// Copies the headers that may reach a target. The key and every header of the
+/// system's own are dropped in whatever case or repetition they come.
+void CopyHeaders(const http::Request& request,
+                 const std::string& key_header,
+                 wire::CallRequest& call) {
+  std::vector<http::Header> headers = request.headers;
+  http::RemoveHopByHopHeaders(headers);
+  http::RemoveHeader(headers, key_header);
+  for (const http::Header& header : headers) {
+    if (header.name.size() >= kOwnHeaderPrefix.size() &&
+        http::SameName(header.name.substr(0, kOwnHeaderPrefix.size()),
+                       kOwnHeaderPrefix))
+      continue;
+    wire::Header* copy = call.add_headers();
+    copy->set_name(header.name);
+    copy->set_value(header.value);
+  }
+}
+
+http::Response ToResponse(const wire::CallReply& reply,
+                          const std::string& request_id) {
+  http::Response response;
+  response.status = static_cast<int>(reply.status());
+  response.headers.push_back(
+      {"x-yuccastair-outcome", OutcomeName(reply.outcome())});
+  response.headers.push_back({"x-yuccastair-request", request_id});
+  if (reply.outcome() == wire::OUTCOME_OK) {
+    for (const wire::Header& header : reply.headers())
+      response.headers.push_back({header.name(), header.value()});
+    response.body = reply.body();
+    return response;
+  }
+  response.headers.push_back({"Content-Type", "application/json"});
+  const nlohmann::json body = {{"outcome", OutcomeName(reply.outcome())},
+                               {"reason", reply.reason()},
+                               {"step", reply.step()},
+                               {"retry_after_ms", reply.retry_after_ms()},
+                               {"request_id", request_id}};
+  response.body =
+      body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return response;
+}
+
+wire::CallRequest NewCall(const http::Request& request,
+                          const RequestPolicy& policy,
+                          const std::string& key_header) {
+  wire::CallRequest call;
+  call.set_method(request.method);
+  call.set_path(request.path);
+  call.set_body(request.body);
+  call.set_route(policy.route);
+  call.set_service(policy.service);
+  call.set_organisation(policy.organisation);
+  call.set_idempotent(policy.idempotent);
+  CopyHeaders(request, key_header, call);
+  return call;
+}
+
+std::optional<wire::TargetState> ParseState(const std::string& text) {
+  if (text == "cold")
+    return wire::TARGET_STATE_COLD;
+  if (text == "up")
+    return wire::TARGET_STATE_UP;
+  if (text == "draining")
+    return wire::TARGET_STATE_DRAINING;
+  if (text == "leaving")
+    return wire::TARGET_STATE_LEAVING;
+  return std::nullopt;
+}
+
+}  // namespace
+
+Entry::Entry(const Settings& settings, Duties duties)
+    : settings_(settings), duties_(duties) {}
+
+http::Response Entry::HandleCaller(const http::Request& request) {
+  const std::string request_id = support::RandomId();
+  const Authorisation authorisation = duties_.authoriser.AuthoriseCaller(
+      request, http::FindHeader(request.headers, settings_.key_header));
+  if (authorisation.refusal)
+    return ToResponse(*authorisation.refusal, request_id);
+  const RequestPolicy& policy = authorisation.policy;
+  const auto deadline = support::SteadyClock().Now() + policy.deadline;
+  if (const auto refusal = duties_.rates.Admit(policy.organisation, deadline))
+    return ToResponse(*refusal, request_id);
+  wire::CallRequest call = NewCall(request, policy, settings_.key_header);
+  call.set_request_id(request_id);
+  call.set_trace_id(support::RandomId());
+  call.set_importance(policy.importance);
+  call.set_attempt_budget(policy.attempts);
+  call.set_depth(1);
+  return ToResponse(
+      RunOnce(call, http::FindHeader(request.headers, kIdempotencyHeader),
+              deadline, request.caller_gone),
+      request_id);
+}
+
+wire::CallReply Entry::RunOnce(const wire::CallRequest& call,
+                               const std::string& idempotency_key,
+                               support::TimePoint deadline,
+                               const std::function<bool()>& caller_gone) {
+  if (call.idempotent() || idempotency_key.empty())
+    return duties_.forwarder.Forward(call, deadline, caller_gone);
+  if (auto reply = duties_.claims.Begin(call, idempotency_key, deadline))
+    return *std::move(reply);
+  wire::CallReply reply =
+      duties_.forwarder.Forward(call, deadline, caller_gone);
+  duties_.claims.Finish(call, idempotency_key, reply);
+  return reply;
+}
+
+http::Response Entry::HandleTarget(const http::Request& request) {
+  if (request.path == kAnnouncePath)
+    return HandleAnnouncement(request);
+  return HandleTargetCall(request);
+}
+
+http::Response Entry::HandleTargetCall(const http::Request& request) {
+  const std::string token =
+      http::FindHeader(request.headers, "x-yuccastair-call");
+  const std::optional<CallContext> context = duties_.running.Find(token);
+  if (!context)
+    return ToResponse(NotRun("context",
+                             "x-yuccastair-call names no running "
+                             "request of this node",
+                             403),
+                      "");
+  const Authorisation authorisation =
+      duties_.authoriser.AuthoriseTargetCall(request, context->organisation);
+  if (authorisation.refusal)
+    return ToResponse(*authorisation.refusal, context->request_id);
+  wire::CallRequest call =
+      NewCall(request, authorisation.policy, settings_.key_header);
+  call.set_request_id(context->request_id);
+  call.set_trace_id(context->trace_id);
+  call.set_parent_span_id(context->span_id);
+  call.set_importance(context->importance);
+  call.set_depth(context->depth + 1);
+  // A child takes half of what is left, so that a later call of the same
+  // request still finds attempts.
+  const std::uint32_t first = duties_.running.TakeAttempts(token, 1);
+  const std::uint32_t extra = duties_.running.TakeAttempts(token, first);
+  call.set_attempt_budget(first + extra);
+  const wire::CallReply reply = duties_.forwarder.Forward(
+      std::move(call), context->deadline, request.caller_gone);
+  duties_.running.ReturnAttempts(token, reply.unused_attempts());
+  return ToResponse(reply, context->request_id);
+}
+
+http::Response Entry::HandleAnnouncement(const http::Request& request) {
+  const nlohmann::json body =
+      nlohmann::json::parse(request.body, nullptr, /*allow_exceptions=*/false);
+  TargetAnnouncement announcement;
+  std::optional<wire::TargetState> state;
+  std::optional<support::Address> address;
+  if (body.is_object()) {
+    announcement.service = body.value("service", "");
+    announcement.incarnation = body.value("incarnation", "");
+    address = support::ParseAddress(body.value("address", ""));
+    state = ParseState(body.value("state", ""));
+  }
+  if (announcement.service.empty() || !address || !state) {
+    return ToResponse(
+        NotRun("announce",
+               "an announcement is a JSON object with service, incarnation, "
+               "address (ip:port) and state (cold, up, draining or leaving)",
+               400),
+        "");
+  }
+  announcement.address = *address;
+  announcement.state = *state;
+  duties_.target.Announce(announcement);
+  return {.status = 200, .headers = {}, .body = "{}"};
+}
+
+http::Response Entry::Refuse(const http::Request&, int status) const {
+  if (status == 413)
+    return ToResponse(NotRun("read request",
+                             "the body is larger than "
+                             "node.max_body_bytes",
+                             status),
+                      "");
+  return ToResponse(
+      NotRun("accept", "the node has too many requests in flight", status), "");
+}
+
+}  // namespace yuccastair::node
--- /dev/null
+++ b/lib/node/node.cc
@@ -0,0 +1,208 @@
+// Assembles the node process from its duties.
+
+#include "yuccastair/node/node.h"
+
+#include <algorithm>
+#include <thread>
+#include <utility>
+
+#include "entry.h"
+#include "fleet_view.h"
+#include "forwarder.h"
+#include "running_calls.h"
+#include "sync_client.h"
+#include "target_side.h"
+#include "yuccastair/http/server.h"
+#include "yuccastair/support/id.h"
+#include "yuccastair/support/log.h"
+#include "yuccastair/wire/pending_calls.h"
+#include "yuccastair/wire/transport.h"
+
+namespace yuccastair::node {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kDrainPoll{20};
+// Long enough for every other node to have synced once after the announcement.
+constexpr milliseconds kLeaveNotice{1500};
+
+std::optional<wire::CurveKeyPair> CurveKeys(const Settings& settings) {
+  if (settings.curve_public_key.empty())
+    return std::nullopt;
+  return wire::CurveKeyPair{settings.curve_public_key,
+                            settings.curve_secret_key};
+}
+
+std::vector<std::string> ToStrings(
+    const std::vector<support::Address>& addresses) {
+  std::vector<std::string> texts;
+  texts.reserve(addresses.size());
+  for (const support::Address& address : addresses)
+    texts.push_back(address.ToString());
+  return texts;
+}
+
+}  // namespace
+
+class Node::Impl {
+ public:
+  explicit Impl(Settings settings)
+      : settings_(std::move(settings)),
+        incarnation_(support::RandomId()),
+        target_(settings_.target_workers, running_),
+        transport_(TransportOptions(), TransportHandlers()),
+        sync_(SyncOptions(), transport_, pending_),
+        forwarder_(fleet_, transport_, pending_, [this] { sync_.Wake(); }),
+        entry_(settings_,
+               {authoriser_, rates_, claims_, forwarder_, running_, target_}),
+        target_server_(TargetServerOptions()),
+        caller_server_(CallerServerOptions()) {
+    support::LogInfo("node.started",
+                     {{"listen", settings_.listen.ToString()},
+                      {"availability_zone", settings_.availability_zone}});
+  }
+
+  // The workers of the target side answer through the transport, which is
+  // destroyed before them.
+  ~Impl() { target_.Stop(); }
+
+  void Drain() {
+    leaving_ = true;
+    sync_.Wake();
+    const auto started = support::SteadyClock().Now();
+    std::this_thread::sleep_for(
+        std::min(kLeaveNotice, settings_.shutdown_timeout));
+    target_.StartDraining();
+    while (support::SteadyClock().Now() - started <
+               settings_.shutdown_timeout &&
+           (target_.running() > 0 || caller_server_.in_flight() > 0))
+      std::this_thread::sleep_for(kDrainPoll);
+    support::LogInfo("node.drained", {{"running", target_.running()}});
+  }
+
+ private:
+  wire::Transport::Options TransportOptions() const {
+    return {.listen = settings_.peer_listen.ToString(),
+            .curve = CurveKeys(settings_)};
+  }
+
+  wire::Transport::Handlers TransportHandlers() {
+    return {.on_request =
+                [this](const wire::ReplyRoute& route, wire::Envelope envelope) {
+                  HandleRequest(route, std::move(envelope));
+                },
+            .on_answer =
+                [this](const std::string&, wire::Envelope envelope) {
+                  const std::uint64_t correlation = envelope.correlation();
+                  pending_.Complete(correlation, std::move(envelope));
+                },
+            .on_undelivered =
+                [this](const std::string&, const wire::Envelope& envelope) {
+                  pending_.CompleteUndelivered(envelope.correlation());
+                },
+            .on_tick = nullptr};
+  }
+
+  void HandleRequest(const wire::ReplyRoute& route, wire::Envelope envelope) {
+    const std::uint64_t correlation = envelope.correlation();
+    if (envelope.has_ping()) {
+      wire::Envelope answer;
+      answer.set_correlation(correlation);
+      answer.mutable_pong();
+      transport_.Reply(route, std::move(answer));
+      return;
+    }
+    if (!envelope.has_call_request())
+      return;
+    target_.Submit(std::move(*envelope.mutable_call_request()),
+                   [this, route, correlation](wire::CallReply reply) {
+                     wire::Envelope answer;
+                     answer.set_correlation(correlation);
+                     *answer.mutable_call_reply() = std::move(reply);
+                     transport_.Reply(route, std::move(answer));
+                   });
+  }
+
+  SyncClient::Options SyncOptions() {
+    return {
+        .controls = ToStrings(settings_.controls),
+        .node_id = settings_.id,
+        .interval = settings_.sync_interval,
+        .fill = [this](wire::SyncRequest& request) { FillSync(request); },
+        .apply = [this](const wire::SyncReply& reply) { fleet_.Apply(reply); }};
+  }
+
+  void FillSync(wire::SyncRequest& request) const {
+    wire::Member* self = request.mutable_self();
+    self->set_node_id(settings_.id);
+    self->set_incarnation(incarnation_);
+    self->set_availability_zone(settings_.availability_zone);
+    self->set_address(settings_.peer_listen.ToString());
+    self->set_state(wire::TARGET_STATE_DOWN);
+    if (const auto announcement = target_.announcement()) {
+      self->set_service(announcement->service);
+      self->set_state(announcement->state);
+    }
+    if (leaving_)
+      self->set_state(wire::TARGET_STATE_LEAVING);
+    fleet_.FillRequest(request);
+  }
+
+  http::Server::Options CallerServerOptions() {
+    return ServerOptions(settings_.listen,
+                         [this](const http::Request& request) {
+                           return entry_.HandleCaller(request);
+                         });
+  }
+
+  http::Server::Options TargetServerOptions() {
+    return ServerOptions(settings_.target_listen,
+                         [this](const http::Request& request) {
+                           return entry_.HandleTarget(request);
+                         });
+  }
+
+  http::Server::Options ServerOptions(const support::Address& listen,
+                                      http::Server::Handler handler) {
+    http::Server::Options options;
+    options.listen = listen;
+    options.max_in_flight = settings_.max_in_flight;
+    options.max_body_bytes = settings_.max_body_bytes;
+    options.on_request = std::move(handler);
+    options.on_refused = [this](const http::Request& request, int status) {
+      return entry_.Refuse(request, status);
+    };
+    return options;
+  }
+
+  // Members are destroyed in reverse order: the servers first, so that no
+  // request comes in while the rest is taken down.
+  const Settings settings_;
+  const std::string incarnation_;
+  std::atomic<bool> leaving_ = false;
+  wire::PendingCalls pending_;
+  RunningCalls running_;
+  FleetView fleet_;
+  TargetSide target_;
+  wire::Transport transport_;
+  SyncClient sync_;
+  Forwarder forwarder_;
+  Authoriser authoriser_;
+  RateGate rates_;
+  ClaimGate claims_;
+  Entry entry_;
+  http::Server target_server_;
+  http::Server caller_server_;
+};
+
+Node::Node(Settings settings)
+    : impl_(std::make_unique<Impl>(std::move(settings))) {}
+
+Node::~Node() = default;
+
+void Node::Drain() {
+  impl_->Drain();
+}
+
+}  // namespace yuccastair::node
--- /dev/null
+++ b/lib/node/sync_client.h
@@ -0,0 +1,64 @@
+// Keeps a node in step with the control processes.
+
+#ifndef YUCCASTAIR_LIB_NODE_SYNC_CLIENT_H_
+#define YUCCASTAIR_LIB_NODE_SYNC_CLIENT_H_
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "envelope.pb.h"
+#include "yuccastair/support/clock.h"
+#include "yuccastair/wire/pending_calls.h"
+#include "yuccastair/wire/transport.h"
+
+namespace yuccastair::node {
+
+/// Sends a SyncRequest to one control process every interval, and moves to the
+/// next control process after two missed answers.
+class SyncClient {
+ public:
+  struct Options {
+    std::vector<std::string> controls;
+    std::string node_id;
+    std::chrono::milliseconds interval{500};
+    /// Fills the request to send; called on the sync thread.
+    std::function<void(wire::SyncRequest&)> fill;
+    /// Receives each reply; called on the sync thread.
+    std::function<void(const wire::SyncReply&)> apply;
+  };
+
+  SyncClient(Options options,
+             wire::Transport& transport,
+             wire::PendingCalls& pending);
+  ~SyncClient();
+
+  /// Sends the next request now.
+  void Wake();
+
+  /// Time at which the state of this node was last known to be current.
+  support::TimePoint fresh_at() const;
+
+ private:
+  void Run();
+  bool SyncOnce(const std::string& control);
+
+  const Options options_;
+  wire::Transport& transport_;
+  wire::PendingCalls& pending_;
+  std::atomic<support::Duration::rep> fresh_at_ = 0;
+  std::mutex mutex_;
+  std::condition_variable wake_;
+  bool wake_requested_ = false;
+  bool stopping_ = false;
+  std::thread thread_;
+};
+
+}  // namespace yuccastair::node
+
+#endif  // YUCCASTAIR_LIB_NODE_SYNC_CLIENT_H_
--- /dev/null
+++ b/tools/yuccastair/main.cc
@@ -0,0 +1,158 @@
+// The yuccastair binary: picks the subcommand and runs it.
+
+#include <signal.h>
+
+#include <cxxopts.hpp>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "yuccastair/control/control.h"
+#include "yuccastair/node/node.h"
+#include "yuccastair/support/error.h"
+#include "yuccastair/support/log.h"
+#include "yuccastair/support/settings_file.h"
+
+namespace yuccastair {
+namespace {
+
+constexpr int kExitSuccess = 0;
+constexpr int kExitFailure = 1;
+constexpr int kExitUsage = 2;
+
+constexpr const char* kUsage = R"(usage: yuccastair COMMAND [OPTION...]
+
+commands:
+  node     run the process beside a target
+  control  run a control process, which holds the durable state
+  check    check a settings file
+
+'yuccastair COMMAND --help' shows the options of a command.
+exit codes: 0 success, 1 runtime failure, 2 usage error or invalid settings,
+3 rejected by the control processes
+)";
+
+/// Blocks SIGTERM and SIGINT in all threads started from here on.
+sigset_t BlockStopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  signal(SIGPIPE, SIG_IGN);
+  return signals;
+}
+
+void WaitForStop(const sigset_t& signals) {
+  int received = 0;
+  sigwait(&signals, &received);
+}
+
+/// Prints the faults of a settings file; returns whether there are none.
+bool ReportFaults(support::SettingsFile& file) {
+  const auto faults = file.FinishAndTakeFaults();
+  for (const support::SettingsFault& fault : faults)
+    std::cerr << fault.ToString() << '\n';
+  return faults.empty();
+}
+
+int RunNode(const std::string& path) {
+  support::SettingsFile file(path);
+  node::Settings settings = node::ReadSettings(file);
+  if (!ReportFaults(file))
+    return kExitUsage;
+  support::InitLog(support::LogLevel::kInfo, "node", settings.id);
+  const sigset_t signals = BlockStopSignals();
+  node::Node node(std::move(settings));
+  WaitForStop(signals);
+  node.Drain();
+  return kExitSuccess;
+}
+
+int RunControl(const std::string& path) {
+  support::SettingsFile file(path);
+  control::Settings settings = control::ReadSettings(file);
+  if (!ReportFaults(file))
+    return kExitUsage;
+  support::InitLog(support::LogLevel::kInfo, "control", settings.id);
+  const sigset_t signals = BlockStopSignals();
+  const control::Control control(std::move(settings));
+  WaitForStop(signals);
+  return kExitSuccess;
+}
+
+int RunCheck(const std::string& path, const std::string& role) {
+  support::SettingsFile file(path);
+  if (role == "node")
+    node::ReadSettings(file);
+  else
+    control::ReadSettings(file);
+  return ReportFaults(file) ? kExitSuccess : kExitUsage;
+}
+
+int RunWithConfig(const std::string& command, int argc, char** argv) {
+  cxxopts::Options options("yuccastair " + command);
+  auto add = options.add_options();
+  add("config", "settings file in TOML", cxxopts::value<std::string>());
+  add("help", "show this text");
+  if (command == "check")
+    add("role", "node or control", cxxopts::value<std::string>());
+  const cxxopts::ParseResult parsed = options.parse(argc, argv);
+  if (parsed.count("help") > 0) {
+    std::cout << options.help();
+    return kExitSuccess;
+  }
+  if (parsed.count("config") == 0) {
+    std::cerr << "yuccastair " << command << ": --config FILE is required\n";
+    return kExitUsage;
+  }
+  const std::string path = parsed["config"].as<std::string>();
+  if (command == "node")
+    return RunNode(path);
+  if (command == "control")
+    return RunControl(path);
+  const std::string role =
+      parsed.count("role") > 0 ? parsed["role"].as<std::string>() : "";
+  if (role != "node" && role != "control") {
+    std::cerr
+        << "yuccastair check: --role node or --role control is required\n";
+    return kExitUsage;
+  }
+  return RunCheck(path, role);
+}
+
+int Run(int argc, char** argv) {
+  const std::string command = argc > 1 ? argv[1] : "";
+  if (command == "--help") {
+    std::cout << kUsage;
+    return kExitSuccess;
+  }
+  if (command == "--version") {
+    std::cout << "yuccastair " << YUCCASTAIR_VERSION << '\n';
+    return kExitSuccess;
+  }
+  if (command == "node" || command == "control" || command == "check")
+    return RunWithConfig(command, argc - 1, argv + 1);
+  std::cerr << (command.empty() ? "" : "unknown command " + command + "\n")
+            << kUsage;
+  return kExitUsage;
+}
+
+}  // namespace
+}  // namespace yuccastair
+
+int main(int argc, char** argv) {
+  try {
+    return yuccastair::Run(argc, argv);
+  } catch (const cxxopts::exceptions::exception& error) {
+    std::cerr << "yuccastair: " << error.what() << '\n';
+    return yuccastair::kExitUsage;
+  } catch (const yuccastair::support::Error& error) {
+    std::cerr << "yuccastair: " << error.what() << '\n';
+    return error.step() == "read settings" ? yuccastair::kExitUsage
+                                           : yuccastair::kExitFailure;
+  } catch (const std::exception& error) {
+    std::cerr << "yuccastair: " << error.what() << '\n';
+    return yuccastair::kExitFailure;
+  }
+}
--- /dev/null
+++ b/unittests/main.cc
@@ -0,0 +1,4 @@
+// Entry point of every test program.
+
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
