Record spans, metrics and decisions in the node

Cause: the observe module existed but nothing used it, so a rejected request could not be explained.

Change: a span for each hop (entry, target, outgoing), counters and latency summaries by outcome, organisation and route, and a decision record for every request that did not get its target's answer. The local port shows them under /yuccastair/metrics and /yuccastair/explain/REQUEST-ID. The target gets the span of its own node as traceparent.

Checked: a request through two services, sent with a traceparent, gave four spans in one trace whose parents form the chain entry, target, outgoing, target.

Conclusion: each hop is visible. Decisions inside admission and routing are not recorded yet.

--- a/include/yuccastair/node/settings.h
+++ b/include/yuccastair/node/settings.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -31,6 +32,10 @@
   std::size_t target_workers = 0;
   std::chrono::milliseconds sync_interval{};
   std::chrono::milliseconds shutdown_timeout{};
+  /// Empty for no spans.
+  std::string trace_file;
+  /// One in this many requests that bring no trace context; 0 for none.
+  std::uint32_t trace_sample_one_in = 0;
   std::string curve_public_key;
   std::string curve_secret_key;
 };
--- a/lib/node/entry.cc
+++ b/lib/node/entry.cc
@@ -14,20 +14,12 @@
 namespace {
 
 constexpr std::string_view kAnnouncePath = "/yuccastair/announce";
+constexpr std::string_view kMetricsPath = "/yuccastair/metrics";
+constexpr std::string_view kExplainPath = "/yuccastair/explain/";
+constexpr std::string_view kTraceparentHeader = "traceparent";
 constexpr std::string_view kIdempotencyHeader = "Idempotency-Key";
 constexpr std::string_view kOwnHeaderPrefix = "x-yuccastair-";
 
-const char* OutcomeName(wire::Outcome outcome) {
-  switch (outcome) {
-    case wire::OUTCOME_OK:
-      return "ok";
-    case wire::OUTCOME_NOT_RUN:
-      return "not-run";
-    default:
-      return "unknown";
-  }
-}
-
 /// Copies the headers that may reach a target. The key and every header of the
 /// system's own are dropped in whatever case or repetition they come.
 void CopyHeaders(const http::Request& request,
@@ -71,10 +63,10 @@
   return response;
 }
 
-wire::CallRequest NewCall(const http::Request& request,
-                          const RequestPolicy& policy,
-                          const std::string& key_header) {
-  wire::CallRequest call;
+void FillCall(const http::Request& request,
+              const RequestPolicy& policy,
+              const std::string& key_header,
+              wire::CallRequest& call) {
   call.set_method(request.method);
   call.set_path(request.path);
   call.set_body(request.body);
@@ -83,7 +75,10 @@
   call.set_organisation(policy.organisation);
   call.set_idempotent(policy.idempotent);
   CopyHeaders(request, key_header, call);
-  return call;
+}
+
+http::Response NotFound() {
+  return {404, {{"Content-Type", "application/json"}}, "{}", false};
 }
 
 std::optional<wire::TargetState> ParseState(const std::string& text) {
@@ -105,24 +100,34 @@
 
 http::Response Entry::HandleCaller(const http::Request& request) {
   const std::string request_id = support::RandomId();
+  const Hop hop = duties_.observer.StartRequest(
+      "entry", http::FindHeader(request.headers, kTraceparentHeader));
+  wire::CallRequest call;
+  call.set_request_id(request_id);
+  call.set_trace_id(hop.context.trace_id);
+  call.set_parent_span_id(hop.context.span_id);
+  call.set_trace_sampled(hop.context.sampled);
+  call.set_depth(1);
+  const wire::CallReply reply = RunCaller(request, call);
+  duties_.observer.Finish(hop, request_id, &call, reply);
+  return ToResponse(reply, request_id);
+}
+
+wire::CallReply Entry::RunCaller(const http::Request& request,
+                                 wire::CallRequest& call) {
   const Authorisation authorisation = duties_.authoriser.AuthoriseCaller(
       request, http::FindHeader(request.headers, settings_.key_header));
-  if (authorisation.refusal)
-    return ToResponse(*authorisation.refusal, request_id);
   const RequestPolicy& policy = authorisation.policy;
+  FillCall(request, policy, settings_.key_header, call);
+  if (authorisation.refusal)
+    return *authorisation.refusal;
   const auto deadline = support::SteadyClock().Now() + policy.deadline;
-  if (const auto refusal = duties_.rates.Admit(policy.organisation, deadline))
-    return ToResponse(*refusal, request_id);
-  wire::CallRequest call = NewCall(request, policy, settings_.key_header);
-  call.set_request_id(request_id);
-  call.set_trace_id(support::RandomId());
+  if (auto refusal = duties_.rates.Admit(policy.organisation, deadline))
+    return *std::move(refusal);
   call.set_importance(policy.importance);
   call.set_attempt_budget(policy.attempts);
-  call.set_depth(1);
-  return ToResponse(
-      RunOnce(call, http::FindHeader(request.headers, kIdempotencyHeader),
-              deadline, request.caller_gone),
-      request_id);
+  return RunOnce(call, http::FindHeader(request.headers, kIdempotencyHeader),
+                 deadline, request.caller_gone);
 }
 
 wire::CallReply Entry::RunOnce(const wire::CallRequest& call,
@@ -142,6 +147,13 @@
 http::Response Entry::HandleTarget(const http::Request& request) {
   if (request.path == kAnnouncePath)
     return HandleAnnouncement(request);
+  if (request.path == kMetricsPath)
+    return {200,
+            {{"Content-Type", "text/plain; version=0.0.4"}},
+            duties_.observer.metrics().ToPrometheusText(),
+            false};
+  if (request.path.rfind(kExplainPath, 0) == 0)
+    return Explain(request.path.substr(kExplainPath.size()));
   return HandleTargetCall(request);
 }
 
@@ -159,11 +171,14 @@
       duties_.authoriser.AuthoriseTargetCall(request, context->organisation);
   if (authorisation.refusal)
     return ToResponse(*authorisation.refusal, context->request_id);
-  wire::CallRequest call =
-      NewCall(request, authorisation.policy, settings_.key_header);
+  wire::CallRequest call;
+  FillCall(request, authorisation.policy, settings_.key_header, call);
   call.set_request_id(context->request_id);
   call.set_trace_id(context->trace_id);
   call.set_parent_span_id(context->span_id);
+  call.set_trace_sampled(context->trace_sampled);
+  const Hop hop = duties_.observer.StartCall("outgoing", call);
+  call.set_parent_span_id(hop.context.span_id);
   call.set_importance(context->importance);
   call.set_depth(context->depth + 1);
   // A child takes half of what is left, so that a later call of the same
@@ -171,8 +186,9 @@
   const std::uint32_t first = duties_.running.TakeAttempts(token, 1);
   const std::uint32_t extra = duties_.running.TakeAttempts(token, first);
   call.set_attempt_budget(first + extra);
-  const wire::CallReply reply = duties_.forwarder.Forward(
-      std::move(call), context->deadline, request.caller_gone);
+  const wire::CallReply reply =
+      duties_.forwarder.Forward(call, context->deadline, request.caller_gone);
+  duties_.observer.Finish(hop, context->request_id, &call, reply);
   duties_.running.ReturnAttempts(token, reply.unused_attempts());
   return ToResponse(reply, context->request_id);
 }
@@ -203,6 +219,16 @@
   return {.status = 200, .headers = {}, .body = "{}"};
 }
 
+http::Response Entry::Explain(const std::string& request_id) const {
+  nlohmann::json list = nlohmann::json::array();
+  for (const observe::Decision& decision :
+       duties_.observer.decisions().Explain(request_id))
+    list.push_back(observe::ToJson(decision));
+  if (list.empty())
+    return NotFound();
+  return {200, {{"Content-Type", "application/json"}}, list.dump(), false};
+}
+
 http::Response Entry::Refuse(const http::Request&, int status) const {
   if (status == 413)
     return ToResponse(NotRun("read request",
--- a/lib/node/entry.h
+++ b/lib/node/entry.h
@@ -9,6 +9,7 @@
 #include "authoriser.h"
 #include "claim_gate.h"
 #include "forwarder.h"
+#include "observer.h"
 #include "rate_gate.h"
 #include "running_calls.h"
 #include "target_side.h"
@@ -28,6 +29,7 @@
     Forwarder& forwarder;
     RunningCalls& running;
     TargetSide& target;
+    Observer& observer;
   };
 
   Entry(const Settings& settings, Duties duties);
@@ -44,6 +46,9 @@
 
  private:
   http::Response HandleAnnouncement(const http::Request& request);
+  http::Response Explain(const std::string& request_id) const;
+  wire::CallReply RunCaller(const http::Request& request,
+                            wire::CallRequest& call);
   http::Response HandleTargetCall(const http::Request& request);
   /// Forwards a call; a non-idempotent one with a key only under its claim.
   wire::CallReply RunOnce(const wire::CallRequest& call,
--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -9,6 +9,7 @@
 #include "entry.h"
 #include "fleet_view.h"
 #include "forwarder.h"
+#include "observer.h"
 #include "running_calls.h"
 #include "sync_client.h"
 #include "target_side.h"
@@ -43,6 +44,21 @@
   return texts;
 }
 
+/// Hands the target the span of its own node as the parent of its spans.
+void ReplaceTraceparent(const observe::TraceContext& context,
+                        wire::CallRequest& call) {
+  auto* headers = call.mutable_headers();
+  for (auto it = headers->begin(); it != headers->end();) {
+    if (http::SameName(it->name(), "traceparent"))
+      it = headers->erase(it);
+    else
+      ++it;
+  }
+  wire::Header* header = call.add_headers();
+  header->set_name("traceparent");
+  header->set_value(observe::FormatTraceparent(context));
+}
+
 }  // namespace
 
 class Node::Impl {
@@ -50,12 +66,14 @@
   explicit Impl(Settings settings)
       : settings_(std::move(settings)),
         incarnation_(support::RandomId()),
+        observer_(settings_),
         target_(settings_.target_workers, running_),
         transport_(TransportOptions(), TransportHandlers()),
         sync_(SyncOptions(), transport_, pending_),
         forwarder_(fleet_, transport_, pending_, [this] { sync_.Wake(); }),
         entry_(settings_,
-               {authoriser_, rates_, claims_, forwarder_, running_, target_}),
+               {authoriser_, rates_, claims_, forwarder_, running_, target_,
+                observer_}),
         target_server_(TargetServerOptions()),
         caller_server_(CallerServerOptions()) {
     support::LogInfo("node.started",
@@ -115,13 +133,27 @@
     }
     if (!envelope.has_call_request())
       return;
-    target_.Submit(std::move(*envelope.mutable_call_request()),
-                   [this, route, correlation](wire::CallReply reply) {
-                     wire::Envelope answer;
-                     answer.set_correlation(correlation);
-                     *answer.mutable_call_reply() = std::move(reply);
-                     transport_.Reply(route, std::move(answer));
-                   });
+    HandleCall(route, correlation, std::move(*envelope.mutable_call_request()));
+  }
+
+  void HandleCall(const wire::ReplyRoute& route,
+                  std::uint64_t correlation,
+                  wire::CallRequest call) {
+    const Hop hop = observer_.StartCall("target", call);
+    call.set_parent_span_id(hop.context.span_id);
+    ReplaceTraceparent(hop.context, call);
+    // Kept for the span; the body is not needed there.
+    wire::CallRequest described = call;
+    described.clear_body();
+    described.clear_headers();
+    target_.Submit(std::move(call), [this, route, correlation, hop,
+                                     described](wire::CallReply reply) {
+      observer_.Finish(hop, described.request_id(), &described, reply);
+      wire::Envelope answer;
+      answer.set_correlation(correlation);
+      *answer.mutable_call_reply() = std::move(reply);
+      transport_.Reply(route, std::move(answer));
+    });
   }
 
   SyncClient::Options SyncOptions() {
@@ -181,6 +213,7 @@
   const Settings settings_;
   const std::string incarnation_;
   std::atomic<bool> leaving_ = false;
+  Observer observer_;
   wire::PendingCalls pending_;
   RunningCalls running_;
   FleetView fleet_;
--- a/lib/node/running_calls.h
+++ b/lib/node/running_calls.h
@@ -21,6 +21,7 @@
   std::string request_id;
   std::string trace_id;
   std::string span_id;
+  bool trace_sampled = false;
   std::string organisation;
   wire::Importance importance = wire::IMPORTANCE_NORMAL;
   support::TimePoint deadline;
--- a/lib/node/settings.cc
+++ b/lib/node/settings.cc
@@ -27,6 +27,9 @@
   settings.shutdown_timeout =
       file.GetMilliseconds("node.shutdown_timeout_ms", milliseconds(10000),
                            milliseconds(0), milliseconds(600000));
+  settings.trace_file = file.GetString("trace.file", "");
+  settings.trace_sample_one_in = static_cast<std::uint32_t>(
+      file.GetInteger("trace.sample_one_in", 1000, 0, 1000000000));
   settings.curve_public_key = file.GetString("curve.public_key", "");
   settings.curve_secret_key = file.GetString("curve.secret_key", "");
   return settings;
--- a/lib/node/target_side.cc
+++ b/lib/node/target_side.cc
@@ -131,6 +131,7 @@
   context.request_id = call.request_id();
   context.trace_id = call.trace_id();
   context.span_id = call.parent_span_id();
+  context.trace_sampled = call.trace_sampled();
   context.organisation = call.organisation();
   context.importance = call.importance();
   context.deadline = job.deadline;
