Keep the transport in step after a message with unexpected parts

Cause: the transport took the third part of a multipart message for the identity of the next one, so every later message of that wake-up was read from the wrong place; a peer that sends one such message could silence others.

Change: all parts of a message are received, and one that has not exactly one part after the identity is dropped and logged. A wait interrupted by a stop and continue of the process no longer ends the thread.

Ruled out: a fault in parsing; malformed protobuf alone was dropped correctly.

--- a/lib/wire/transport.cc
+++ b/lib/wire/transport.cc
@@ -204,7 +204,11 @@
     timeout = std::max(timeout, std::chrono::milliseconds(0));
     if (waiting)
       timeout = std::min(timeout, kRetryInterval);
-    zmq::poll(items, timeout);
+    // Being stopped and continued interrupts the wait.
+    if (zmq_poll(items.data(), static_cast<int>(items.size()),
+                 timeout.count()) < 0 &&
+        zmq_errno() != EINTR)
+      throw support::Error("wait for messages", "", zmq_strerror(zmq_errno()));
     std::uint64_t count = 0;
     [[maybe_unused]] const auto bytes = read(wakeup_, &count, sizeof count);
   }
@@ -282,8 +286,8 @@
       if (!router_.recv(identity, zmq::recv_flags::dontwait))
         return;
       zmq::message_t payload;
-      if (!router_.recv(payload, zmq::recv_flags::dontwait))
-        return;
+      if (!ReceiveLastPart(router_, identity.more(), payload))
+        continue;
       Envelope envelope;
       if (!Parse(payload, envelope))
         continue;
@@ -297,6 +301,10 @@
       zmq::message_t payload;
       if (!socket.recv(payload, zmq::recv_flags::dontwait))
         return;
+      if (payload.more()) {
+        ReceiveLastPart(socket, true, payload);
+        continue;
+      }
       Envelope envelope;
       if (!Parse(payload, envelope))
         continue;
@@ -305,6 +313,22 @@
     }
   }
 
+  /// Receives the single part that must still follow. Takes every part of a
+  /// message that has more, so that the next message starts at its beginning.
+  static bool ReceiveLastPart(zmq::socket_t& socket,
+                              bool more,
+                              zmq::message_t& payload) {
+    int parts = 0;
+    while (more && socket.recv(payload, zmq::recv_flags::dontwait)) {
+      ++parts;
+      more = payload.more();
+    }
+    if (parts == 1)
+      return true;
+    support::LogWarning("transport.malformed", {{"parts", parts}});
+    return false;
+  }
+
   bool Parse(const zmq::message_t& payload, Envelope& envelope) {
     ++received_;
     received_bytes_ += payload.size();
--- a/tools/yuccastair/main.cc
+++ b/tools/yuccastair/main.cc
@@ -12,6 +12,7 @@
 #include "yuccastair/support/error.h"
 #include "yuccastair/support/log.h"
 #include "yuccastair/support/settings_file.h"
+#include "yuccastair/wire/transport.h"
 
 namespace yuccastair {
 namespace {
@@ -26,6 +27,7 @@
   node     run the process beside a target
   control  run a control process, which holds the durable state
   check    check a settings file
+  keygen   print a new [curve] section for the processes of a deployment
 
 'yuccastair COMMAND --help' shows the options of a command.
 exit codes: 0 success, 1 runtime failure, 2 usage error or invalid settings,
@@ -121,6 +123,13 @@
   return RunCheck(path, role);
 }
 
+int PrintCurveKeys() {
+  const wire::CurveKeyPair keys = wire::GenerateCurveKeyPair();
+  std::cout << "[curve]\npublic_key = '" << keys.public_key
+            << "'\nsecret_key = '" << keys.secret_key << "'\n";
+  return kExitSuccess;
+}
+
 int Run(int argc, char** argv) {
   const std::string command = argc > 1 ? argv[1] : "";
   if (command == "--help") {
@@ -131,6 +140,8 @@
     std::cout << "yuccastair " << YUCCASTAIR_VERSION << '\n';
     return kExitSuccess;
   }
+  if (command == "keygen")
+    return PrintCurveKeys();
   if (command == "node" || command == "control" || command == "check")
     return RunWithConfig(command, argc - 1, argv + 1);
   std::cerr << (command.empty() ? "" : "unknown command " + command + "\n")
