Add the shared settings with operator API and authorisation

Cause: nodes served every path under the name of its first segment, without routes, keys or settings.

A node has no disk, so after a restart it holds no version and refuses keyed requests (503, step authorise) until its first sync. A control process hands out no settings before it has been current once since its start; after that, it reports the age of its state, and a node counts a reply as fresh only when it holds the version that the reply names.

Checked: control process, node and stand-in target on loopback; route, open route and conflict through HTTP; 401, 404 and 400 at the node.

Conclusion: a node authorises from settings set through HTTP.

--- a/include/yuccastair/control/settings.h
+++ b/include/yuccastair/control/settings.h
@@ -22,6 +22,8 @@
   std::string data_dir;
   /// Peer addresses of all control processes, this one included.
   std::vector<support::Address> peers;
+  /// Operator addresses of the same processes in the same order; may be empty.
+  std::vector<support::Address> operator_peers;
   std::chrono::milliseconds member_expiry{};
   std::string curve_public_key;
   std::string curve_secret_key;
--- /dev/null
+++ b/lib/control/operator_api.h
@@ -0,0 +1,92 @@
+// The operators' HTTP API of a control process.
+
+#ifndef YUCCASTAIR_LIB_CONTROL_OPERATOR_API_H_
+#define YUCCASTAIR_LIB_CONTROL_OPERATOR_API_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "query.h"
+#include "settings_sync.h"
+#include "yuccastair/consensus/state_machine.h"
+#include "yuccastair/http/message.h"
+#include "yuccastair/state/settings_machine.h"
+
+namespace yuccastair::control {
+
+/// Answers the requests of operators with JSON.
+///
+/// GET  /v1/status
+/// GET  /v1/entries?prefix=
+/// GET  /v1/effective?level=&name=
+/// GET  /v1/history?since=&limit=
+/// GET  /v1/diff?from=&to=
+/// POST /v1/plan     what a change would do
+/// POST /v1/changes  a change: 200 committed, 400 invalid, 409 conflict,
+///                   504 uncertain, 307 or 503 at a process that is not the
+///                   leader
+///
+/// HTTP threads hand their work to the core thread and wait for it within a
+/// limit.
+class OperatorApi {
+ public:
+  struct Options {
+    std::string id;
+    std::chrono::milliseconds wait_limit{3000};
+    /// Operator addresses of control processes by peer address.
+    std::map<std::string, std::string> operator_addresses;
+    /// Wall-clock time in ms since 1970, for the history.
+    std::function<std::int64_t()> wall_clock_ms;
+    /// Adds to the answer of /v1/status; called on the core thread. May be
+    /// empty.
+    std::function<void(nlohmann::json&)> add_status;
+  };
+
+  /// What the core thread owns.
+  struct Core {
+    consensus::ReplicatedLog& log;
+    const state::SettingsMachine& settings;
+    const SettingsSync& sync;
+  };
+
+  /// Hands a task to the core thread; returns false if it cannot take it.
+  using Post = std::function<bool(std::function<void()>)>;
+
+  OperatorApi(Options options, Core core, Post post);
+
+  /// Safe to call from any thread but the core thread.
+  http::Response Handle(const http::Request& request);
+
+  /// The response to a request that the HTTP server refused by itself.
+  static http::Response Refuse(int status);
+
+ private:
+  struct Waiter;
+  using Answer = std::function<void(http::Response)>;
+
+  http::Response RunOnCore(std::function<void(const Answer&)> task);
+  http::Response Read(const std::string& path, const Query& query);
+  http::Response Change(const http::Request& request, bool plan);
+  void Propose(const wire::SettingsChange& change, const Answer& answer);
+  http::Response NotLeader() const;
+
+  // These run on the core thread.
+  nlohmann::json Status() const;
+  nlohmann::json Entries(const std::string& prefix) const;
+  http::Response Effective(const Query& query) const;
+  nlohmann::json History(const Query& query) const;
+  http::Response Diff(const Query& query) const;
+
+  const Options options_;
+  const Core core_;
+  const Post post_;
+};
+
+}  // namespace yuccastair::control
+
+#endif  // YUCCASTAIR_LIB_CONTROL_OPERATOR_API_H_
--- /dev/null
+++ b/lib/control/query.h
@@ -0,0 +1,52 @@
+// The query part of an operator's request.
+
+#ifndef YUCCASTAIR_LIB_CONTROL_QUERY_H_
+#define YUCCASTAIR_LIB_CONTROL_QUERY_H_
+
+#include <charconv>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace yuccastair::control {
+
+/// Values by name. Names and values need no percent encoding, since every name
+/// in the settings consists of characters that a query may contain.
+class Query {
+ public:
+  explicit Query(std::string_view text) {
+    while (!text.empty()) {
+      const std::string_view part = text.substr(0, text.find('&'));
+      text.remove_prefix(part.size() < text.size() ? part.size() + 1
+                                                   : part.size());
+      const std::size_t equals = part.find('=');
+      if (equals != std::string_view::npos)
+        values_.emplace(part.substr(0, equals), part.substr(equals + 1));
+    }
+  }
+
+  std::string Text(const std::string& name) const {
+    const auto found = values_.find(name);
+    return found == values_.end() ? "" : found->second;
+  }
+
+  /// Returns nothing if the value is missing or not a whole number.
+  std::optional<std::uint64_t> Number(const std::string& name) const {
+    const std::string text = Text(name);
+    std::uint64_t number = 0;
+    const auto [end, error] =
+        std::from_chars(text.data(), text.data() + text.size(), number);
+    if (error != std::errc() || end != text.data() + text.size())
+      return std::nullopt;
+    return number;
+  }
+
+ private:
+  std::map<std::string, std::string> values_;
+};
+
+}  // namespace yuccastair::control
+
+#endif  // YUCCASTAIR_LIB_CONTROL_QUERY_H_
--- a/lib/control/settings.cc
+++ b/lib/control/settings.cc
@@ -14,6 +14,7 @@
   settings.operator_listen = file.RequireAddress("control.operator_listen");
   settings.data_dir = file.RequireString("control.data_dir");
   settings.peers = file.GetAddresses("control.peers");
+  settings.operator_peers = file.GetAddresses("control.operator_peers");
   settings.member_expiry =
       file.GetMilliseconds("control.member_expiry_ms", milliseconds(3000),
                            milliseconds(500), milliseconds(60000));
--- /dev/null
+++ b/lib/control/settings_sync.cc
@@ -0,0 +1,37 @@
+// The settings part of the answer to a node's sync.
+
+#include "settings_sync.h"
+
+#include <algorithm>
+
+namespace yuccastair::control {
+
+using std::chrono::milliseconds;
+
+SettingsSync::SettingsSync(const state::SettingsMachine& settings,
+                           const consensus::ReplicatedLog& log,
+                           const support::Clock& clock)
+    : settings_(settings), log_(log), clock_(clock), started_at_(clock.Now()) {}
+
+milliseconds SettingsSync::Age() const {
+  const support::TimePoint current = log_.CurrentAsOf();
+  if (current < started_at_)
+    return kUnknownAge;
+  // Rounded up, so that the state is never presented as newer than it is.
+  return std::clamp<milliseconds>(
+      std::chrono::ceil<milliseconds>(clock_.Now() - current), milliseconds(0),
+      kUnknownAge);
+}
+
+void SettingsSync::Fill(const wire::SyncRequest& request,
+                        wire::SyncReply& reply) {
+  caught_up_ = caught_up_ || log_.CurrentAsOf() >= started_at_;
+  reply.set_age_ms(static_cast<std::uint32_t>(Age().count()));
+  reply.set_leader_address(log_.LeaderAddress());
+  if (!caught_up_)
+    return;
+  reply.set_settings_version(settings_.version());
+  reply.set_settings(settings_.EncodeUpdate(request.settings_version()));
+}
+
+}  // namespace yuccastair::control
--- /dev/null
+++ b/lib/control/settings_sync.h
@@ -0,0 +1,47 @@
+// Tells nodes the settings and how certain it is that they are current.
+
+#ifndef YUCCASTAIR_LIB_CONTROL_SETTINGS_SYNC_H_
+#define YUCCASTAIR_LIB_CONTROL_SETTINGS_SYNC_H_
+
+#include <chrono>
+#include <cstdint>
+
+#include "sync.pb.h"
+#include "yuccastair/consensus/state_machine.h"
+#include "yuccastair/state/settings_machine.h"
+#include "yuccastair/support/clock.h"
+
+namespace yuccastair::control {
+
+/// Fills the settings part of a SyncReply. Used on the core thread.
+class SettingsSync {
+ public:
+  /// Age that is reported before the state was current for the first time.
+  static constexpr std::chrono::hours kUnknownAge{24};
+
+  SettingsSync(const state::SettingsMachine& settings,
+               const consensus::ReplicatedLog& log,
+               const support::Clock& clock);
+
+  /// Fills version, settings, age and leader.
+  ///
+  /// A process that has not been current since its start may hold an older
+  /// version than the committed one, even one from before its restart, so it
+  /// hands out none until it has caught up once.
+  void Fill(const wire::SyncRequest& request, wire::SyncReply& reply);
+
+  /// Returns how old the applied state may be.
+  std::chrono::milliseconds Age() const;
+
+ private:
+  const state::SettingsMachine& settings_;
+  const consensus::ReplicatedLog& log_;
+  const support::Clock& clock_;
+  const support::TimePoint started_at_;
+  // Set once the state was current after started_at_.
+  bool caught_up_ = false;
+};
+
+}  // namespace yuccastair::control
+
+#endif  // YUCCASTAIR_LIB_CONTROL_SETTINGS_SYNC_H_
--- a/lib/node/authoriser.h
+++ b/lib/node/authoriser.h
@@ -5,11 +5,14 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 
 #include "envelope.pb.h"
+#include "settings_view.h"
 #include "yuccastair/http/message.h"
+#include "yuccastair/support/clock.h"
 
 namespace yuccastair::node {
 
@@ -23,6 +26,7 @@
   bool open = false;
   std::uint32_t attempts = 6;
   std::chrono::milliseconds deadline{5000};
+  std::uint64_t settings_version = 0;
 };
 
 struct Authorisation {
@@ -34,6 +38,15 @@
 /// Matches requests to routes and keys to organisations.
 class Authoriser {
  public:
+  /// Longest time since the settings were known to be current in which a key
+  /// is believed, so that a revoked key stops working.
+  static constexpr std::chrono::milliseconds kFreshnessBound{3000};
+
+  /// \p fresh_at returns when the settings were last known to be current.
+  Authoriser(const SettingsView& settings,
+             const support::Clock& clock,
+             std::function<support::TimePoint()> fresh_at);
+
   /// Decides on a request of a caller. \p key is empty if none came with it.
   Authorisation AuthoriseCaller(const http::Request& request,
                                 const std::string& key) const;
@@ -41,6 +54,13 @@
   /// Decides on a call of the own target, whose organisation is already known.
   Authorisation AuthoriseTargetCall(const http::Request& request,
                                     const std::string& organisation) const;
+
+ private:
+  bool IsFresh() const;
+
+  const SettingsView& settings_;
+  const support::Clock& clock_;
+  const std::function<support::TimePoint()> fresh_at_;
 };
 
 }  // namespace yuccastair::node
--- a/lib/node/entry.cc
+++ b/lib/node/entry.cc
@@ -82,6 +82,7 @@
   call.set_service(policy.service);
   call.set_organisation(policy.organisation);
   call.set_idempotent(policy.idempotent);
+  call.set_settings_version(policy.settings_version);
   CopyHeaders(request, key_header, call);
   return call;
 }
--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -10,6 +10,7 @@
 #include "fleet_view.h"
 #include "forwarder.h"
 #include "running_calls.h"
+#include "settings_view.h"
 #include "sync_client.h"
 #include "target_side.h"
 #include "yuccastair/http/server.h"
@@ -54,6 +55,9 @@
         transport_(TransportOptions(), TransportHandlers()),
         sync_(SyncOptions(), transport_, pending_),
         forwarder_(fleet_, transport_, pending_, [this] { sync_.Wake(); }),
+        authoriser_(shared_settings_,
+                    clock_,
+                    [this] { return sync_.fresh_at(); }),
         entry_(settings_,
                {authoriser_, rates_, claims_, forwarder_, running_, target_}),
         target_server_(TargetServerOptions()),
@@ -125,12 +129,15 @@
   }
 
   SyncClient::Options SyncOptions() {
-    return {
-        .controls = ToStrings(settings_.controls),
-        .node_id = settings_.id,
-        .interval = settings_.sync_interval,
-        .fill = [this](wire::SyncRequest& request) { FillSync(request); },
-        .apply = [this](const wire::SyncReply& reply) { fleet_.Apply(reply); }};
+    return {.controls = ToStrings(settings_.controls),
+            .node_id = settings_.id,
+            .interval = settings_.sync_interval,
+            .fill = [this](wire::SyncRequest& request) { FillSync(request); },
+            .apply =
+                [this](const wire::SyncReply& reply) {
+                  fleet_.Apply(reply);
+                  return shared_settings_.Apply(reply);
+                }};
   }
 
   void FillSync(wire::SyncRequest& request) const {
@@ -146,6 +153,7 @@
     }
     if (leaving_)
       self->set_state(wire::TARGET_STATE_LEAVING);
+    request.set_settings_version(shared_settings_.VersionToReport());
     fleet_.FillRequest(request);
   }
 
@@ -179,7 +187,9 @@
   // Members are destroyed in reverse order: the servers first, so that no
   // request comes in while the rest is taken down.
   const Settings settings_;
+  const support::SteadyClock clock_;
   const std::string incarnation_;
+  SettingsView shared_settings_;
   std::atomic<bool> leaving_ = false;
   wire::PendingCalls pending_;
   RunningCalls running_;
--- /dev/null
+++ b/lib/node/settings_view.h
@@ -0,0 +1,134 @@
+// The shared settings as this node holds them.
+
+#ifndef YUCCASTAIR_LIB_NODE_SETTINGS_VIEW_H_
+#define YUCCASTAIR_LIB_NODE_SETTINGS_VIEW_H_
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "sync.pb.h"
+#include "yuccastair/state/schema.h"
+#include "yuccastair/state/tree.h"
+
+namespace yuccastair::node {
+
+/// The value of every settings key at one place of the tree.
+class EffectiveSettings {
+ public:
+  /// All keys at their defaults.
+  EffectiveSettings();
+
+  std::int64_t Get(state::SettingNumber number) const {
+    return values_[number - 1];
+  }
+  bool GetBoolean(state::SettingNumber number) const {
+    return Get(number) != 0;
+  }
+  void Set(std::uint32_t number, std::int64_t value);
+
+ private:
+  std::array<std::int64_t, state::kSettingCount> values_{};
+};
+
+struct Route {
+  std::string name;
+  std::string service;
+  EffectiveSettings settings;
+};
+
+/// One version of the settings, arranged for look-ups. Does not change, so any
+/// thread may read it without a lock.
+class SettingsVersion {
+ public:
+  SettingsVersion() = default;
+  SettingsVersion(std::uint64_t version, const state::SettingsTree& tree);
+
+  /// 0 before the first settings have arrived.
+  std::uint64_t version() const { return version_; }
+
+  /// Returns the organisation of a key, or an empty string for a key that is
+  /// malformed, unknown or revoked.
+  std::string OrganisationOfKey(std::string_view key) const;
+
+  /// Returns the route with the longest prefix of whole segments that takes the
+  /// method, or null. \p path has no query.
+  const Route* FindRoute(std::string_view method, std::string_view path) const;
+
+  /// Returns the settings of a service; for one without overrides, those of the
+  /// fleet.
+  const EffectiveSettings& OfService(std::string_view service) const;
+
+  /// Returns null for an organisation that does not exist.
+  const wire::Organisation* FindOrganisation(std::string_view name) const;
+
+  bool IsZoneInService(const std::string& zone) const {
+    return zones_out_.count(zone) == 0;
+  }
+
+ private:
+  struct TextHash {
+    using is_transparent = void;
+    std::size_t operator()(std::string_view text) const {
+      return std::hash<std::string_view>()(text);
+    }
+  };
+  template <typename T>
+  using ByText = std::unordered_map<std::string, T, TextHash, std::equal_to<>>;
+
+  struct MethodRoute {
+    // Empty for any method.
+    std::string method;
+    Route route;
+  };
+
+  std::uint64_t version_ = 0;
+  EffectiveSettings fleet_;
+  ByText<EffectiveSettings> services_;
+  ByText<std::vector<MethodRoute>> routes_by_path_;
+  std::size_t longest_path_ = 0;
+  ByText<wire::Organisation> organisations_;
+  // By id; an id belongs to one key of one organisation.
+  ByText<std::vector<wire::Key>> keys_by_id_;
+  std::set<std::string> zones_out_;
+};
+
+/// Applies what control processes send and hands out the current version.
+class SettingsView {
+ public:
+  SettingsView();
+
+  /// Applies the settings of a reply. Settings older than those held are
+  /// ignored. Returns whether this node now holds at least the version that the
+  /// reply names; otherwise the next request asks for the whole settings.
+  /// Called by one thread.
+  bool Apply(const wire::SyncReply& reply);
+
+  /// Version to name in the next SyncRequest.
+  std::uint64_t VersionToReport() const { return reported_version_; }
+
+  std::shared_ptr<const SettingsVersion> Current() const;
+
+ private:
+  bool ApplyUpdate(const std::string& encoded);
+
+  // Used by the sync thread alone.
+  state::SettingsTree tree_;
+  std::atomic<std::uint64_t> reported_version_ = 0;
+
+  // Held only to copy or to replace the pointer.
+  mutable std::mutex mutex_;
+  std::shared_ptr<const SettingsVersion> current_;
+};
+
+}  // namespace yuccastair::node
+
+#endif  // YUCCASTAIR_LIB_NODE_SETTINGS_VIEW_H_
--- a/lib/node/sync_client.cc
+++ b/lib/node/sync_client.cc
@@ -94,7 +94,8 @@
       !answer.envelope.has_sync_reply())
     return false;
   const wire::SyncReply& reply = answer.envelope.sync_reply();
-  options_.apply(reply);
+  if (!options_.apply(reply))
+    return true;
   const auto fresh = sent_at - std::chrono::milliseconds(reply.age_ms());
   fresh_at_ = std::max(fresh_at_.load(), fresh.time_since_epoch().count());
   return true;
--- a/lib/node/sync_client.h
+++ b/lib/node/sync_client.h
@@ -29,8 +29,9 @@
     std::chrono::milliseconds interval{500};
     /// Fills the request to send; called on the sync thread.
     std::function<void(wire::SyncRequest&)> fill;
-    /// Receives each reply; called on the sync thread.
-    std::function<void(const wire::SyncReply&)> apply;
+    /// Receives each reply; called on the sync thread. Returns false if the
+    /// reply could not be applied, so that it does not count as fresh.
+    std::function<bool(const wire::SyncReply&)> apply;
   };
 
   SyncClient(Options options,
