--- a/lib/node/entry.cc
+++ b/lib/node/entry.cc
@@ -74,6 +74,7 @@
   call.set_service(policy.service);
   call.set_organisation(policy.organisation);
   call.set_idempotent(policy.idempotent);
+  call.set_settings_version(policy.settings_version);
   CopyHeaders(request, key_header, call);
 }
 
