--- a/cmake/YuccastairModule.cmake
+++ b/cmake/YuccastairModule.cmake
@@ -17,7 +17,7 @@
 endfunction()
 
 # yc_test(NAME DEPENDS...) builds unittests/NAME/*_test.cc into NAME_test, one
-# ctest entry for each test file.
+# ctest entry for each test file; sets NAME_tests in the caller.
 function(yc_test name)
   file(GLOB sources CONFIGURE_DEPENDS
     ${CMAKE_SOURCE_DIR}/unittests/${name}/*.cc)
@@ -31,5 +31,7 @@
     target_link_libraries(${test} PRIVATE ${ARGN} Catch2::Catch2)
     add_test(NAME ${test} COMMAND ${test})
     set_tests_properties(${test} PROPERTIES TIMEOUT 120)
+    list(APPEND tests ${test})
   endforeach()
+  set(${name}_tests ${tests} PARENT_SCOPE)
 endfunction()
--- a/include/yuccastair/http/client.h
+++ b/include/yuccastair/http/client.h
@@ -26,7 +26,8 @@
 
 struct Exchange {
   ExchangeResult result = ExchangeResult::kNotSent;
-  Response response;
+  /// Status 0 unless the exchange is complete.
+  Response response = {0, {}, {}, false};
   std::string error;
 };
 
