--- /dev/null
+++ b/include/yuccastair/consensus/disk_storage.h
@@ -0,0 +1,61 @@
+// Storage of the replicated log in one data directory.
+
+#ifndef YUCCASTAIR_CONSENSUS_DISK_STORAGE_H_
+#define YUCCASTAIR_CONSENSUS_DISK_STORAGE_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "yuccastair/consensus/files.h"
+#include "yuccastair/consensus/storage.h"
+
+namespace yuccastair::consensus {
+
+/// Keeps the files `lock`, `log` and `snapshot` in a data directory.
+///
+/// The log is a sequence of frames. Each frame holds everything written between
+/// two syncs, so only the last frame can be incomplete after a crash: it is
+/// truncated. Damage to any earlier frame is an Error, because acknowledged
+/// entries would be lost. Every start adds a frame, which puts all frames of
+/// earlier runs under this check. Damage to the very last frame cannot be told
+/// from a torn write.
+class DiskStorage final : public Storage {
+ public:
+  /// Opens the directory, and gives it an identity if it is empty. Throws Error
+  /// if it is locked, damaged, or a copy of another data directory.
+  DiskStorage(Files& files, std::string directory);
+
+  const std::string& Identity() const override { return identity_; }
+  StoredState TakeState() override;
+  void SetVote(std::uint64_t term, const std::string& vote) override;
+  void Append(const wire::LogEntry& entry) override;
+  void Sync() override;
+  void SaveSnapshot(const wire::SnapshotFile& snapshot,
+                    const std::vector<wire::LogEntry>& retained) override;
+  wire::SnapshotFile ReadSnapshot() override;
+
+ private:
+  std::string Path(const std::string& name) const;
+  void LoadLog();
+  void RewriteLog(const std::vector<wire::LogEntry>& entries);
+  void ReplaceFile(const std::string& name, const std::string& content);
+
+  Files& files_;
+  const std::string directory_;
+  std::uint64_t lock_inode_ = 0;
+  std::string identity_;
+  StoredState loaded_;
+  // Term and vote as of the last SetVote.
+  std::uint64_t term_ = 0;
+  std::string vote_;
+  // Sequence number of the last frame written.
+  std::uint64_t sequence_ = 0;
+  // What the next frame will hold, if dirty_.
+  wire::LogFrame pending_;
+  bool dirty_ = false;
+};
+
+}  // namespace yuccastair::consensus
+
+#endif  // YUCCASTAIR_CONSENSUS_DISK_STORAGE_H_
--- /dev/null
+++ b/include/yuccastair/consensus/files.h
@@ -0,0 +1,63 @@
+// The file operations of the disk storage, so that tests can make them fail.
+
+#ifndef YUCCASTAIR_CONSENSUS_FILES_H_
+#define YUCCASTAIR_CONSENSUS_FILES_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace yuccastair::consensus {
+
+/// File operations by path. Each throws support::Error on failure.
+class Files {
+ public:
+  virtual ~Files() = default;
+
+  virtual void CreateDirectory(const std::string& path) = 0;
+  /// Creates and locks a file until the object is destroyed; returns its inode
+  /// number. Fails if another process holds the lock.
+  virtual std::uint64_t Lock(const std::string& path) = 0;
+  virtual bool Exists(const std::string& path) = 0;
+  virtual std::string Read(const std::string& path) = 0;
+  /// Writes \p data at the end of a file, which is created if missing.
+  virtual void Append(const std::string& path, const std::string& data) = 0;
+  virtual void Sync(const std::string& path) = 0;
+  virtual void Truncate(const std::string& path, std::uint64_t size) = 0;
+  virtual void Rename(const std::string& from, const std::string& to) = 0;
+  virtual void SyncDirectory(const std::string& path) = 0;
+  virtual void Remove(const std::string& path) = 0;
+};
+
+/// The files of the machine.
+class PosixFiles final : public Files {
+ public:
+  PosixFiles() = default;
+  ~PosixFiles() override;
+  PosixFiles(const PosixFiles&) = delete;
+  PosixFiles& operator=(const PosixFiles&) = delete;
+
+  void CreateDirectory(const std::string& path) override;
+  std::uint64_t Lock(const std::string& path) override;
+  bool Exists(const std::string& path) override;
+  std::string Read(const std::string& path) override;
+  void Append(const std::string& path, const std::string& data) override;
+  void Sync(const std::string& path) override;
+  void Truncate(const std::string& path, std::uint64_t size) override;
+  void Rename(const std::string& from, const std::string& to) override;
+  void SyncDirectory(const std::string& path) override;
+  void Remove(const std::string& path) override;
+
+ private:
+  int Descriptor(const std::string& path);
+  void CloseDescriptor(const std::string& path);
+
+  // Files opened for writing. A file is written and synced through the same
+  // descriptor, so that no error of an earlier write goes unreported.
+  std::map<std::string, int> open_;
+  int lock_ = -1;
+};
+
+}  // namespace yuccastair::consensus
+
+#endif  // YUCCASTAIR_CONSENSUS_FILES_H_
--- /dev/null
+++ b/lib/consensus/core.cc
@@ -0,0 +1,310 @@
+// Start, dispatch, proposals and application of committed entries.
+
+#include <algorithm>
+#include <utility>
+
+#include "core_impl.h"
+#include "yuccastair/support/error.h"
+#include "yuccastair/support/log.h"
+
+namespace yuccastair::consensus {
+namespace {
+
+// Bounds the confirmations that wait for entries to be applied.
+constexpr std::size_t kMaxConfirmations = 64;
+
+}  // namespace
+
+std::int64_t ToNanoseconds(support::TimePoint time) {
+  return std::chrono::nanoseconds(time.time_since_epoch()).count();
+}
+
+support::TimePoint FromNanoseconds(std::int64_t nanoseconds) {
+  return support::TimePoint(std::chrono::nanoseconds(nanoseconds));
+}
+
+Core::Impl::Impl(CoreOptions options, Environment environment)
+    : options_(std::move(options)), env_(std::move(environment)) {
+  session_ = (static_cast<std::uint64_t>(env_.random(UINT32_MAX)) << 32U) |
+             env_.random(UINT32_MAX);
+  LoadState();
+  leader_contact_ = Now();
+  ResetElectionDeadline();
+}
+
+void Core::Impl::LoadState() {
+  StoredState stored = env_.storage.TakeState();
+  term_ = stored.term;
+  vote_ = stored.vote;
+  if (stored.snapshot) {
+    const wire::SnapshotMeta& meta = stored.snapshot->meta();
+    log_.Reset(meta);
+    snapshot_index_ = applied_index_ = commit_index_ = meta.index();
+    env_.machine.RestoreSnapshot(stored.snapshot->data());
+    // The log may stem from before the snapshot was installed, and differ.
+    const auto same = [&](const wire::LogEntry& entry) {
+      return entry.index() == meta.index() && entry.term() == meta.term();
+    };
+    const bool follows =
+        stored.entries.empty() ||
+        stored.entries.front().index() == meta.index() + 1 ||
+        std::any_of(stored.entries.begin(), stored.entries.end(), same);
+    if (!follows) {
+      stored.entries.clear();
+      env_.storage.SaveSnapshot(*stored.snapshot, {});
+    }
+  }
+  for (wire::LogEntry& entry : stored.entries) {
+    if (entry.index() > log_.last_index())
+      log_.Append(std::move(entry));
+  }
+  synced_index_ = log_.last_index();
+}
+
+void Core::Impl::Receive(const wire::ConsensusMessage& message) {
+  if (message.has_hello()) {
+    HandleHello(message);
+    return;
+  }
+  // An answer or a request for an identity that was lost at this address.
+  if (message.to() != Self())
+    return;
+  const std::string& cluster = log_.config().cluster_id();
+  // A member that has no configuration yet names no cluster.
+  if (!cluster.empty() && !message.cluster_id().empty() &&
+      message.cluster_id() != cluster) {
+    support::LogWarning("log.other_cluster", {{"peer", message.from_address()},
+                                              {"cluster", message.cluster_id()},
+                                              {"own_cluster", cluster}});
+    return;
+  }
+  // A vote request decides for itself whether its term counts.
+  if (message.has_vote_request()) {
+    HandleVoteRequest(message);
+    return;
+  }
+  if (message.term() > term_)
+    BecomeFollower(message.term());
+  switch (message.body_case()) {
+    case wire::ConsensusMessage::kVoteReply:
+      return HandleVoteReply(message);
+    case wire::ConsensusMessage::kAppend:
+      return HandleAppend(message);
+    case wire::ConsensusMessage::kAppendReply:
+      return HandleAppendReply(message);
+    case wire::ConsensusMessage::kSnapshot:
+      return HandleSnapshot(message);
+    case wire::ConsensusMessage::kSnapshotReply:
+      return HandleSnapshotReply(message);
+    default:
+      return;
+  }
+}
+
+void Core::Impl::Tick() {
+  SendHellos();
+  BootstrapIfPossible();
+  if (role_ == Role::kLeader) {
+    TickLeader();
+    return;
+  }
+  if (Now() < election_deadline_)
+    return;
+  ResetElectionDeadline();
+  if (IsVoter(Self()))
+    StartPreVote();
+}
+
+void Core::Impl::Flush() {
+  if (role_ == Role::kLeader) {
+    AppendProposals();
+    ReplicateAll();
+  }
+  env_.storage.Sync();
+  vote_dirty_ = false;
+  synced_index_ = log_.last_index();
+  if (role_ == Role::kLeader)
+    AdvanceCommit();
+  ApplyCommitted();
+  SnapshotIfDue();
+  for (Outgoing& outgoing : std::exchange(outbox_, {}))
+    env_.send(outgoing.address, std::move(outgoing.message));
+}
+
+wire::ConsensusMessage Core::Impl::Message(const std::string& to) const {
+  wire::ConsensusMessage message;
+  message.set_from(Self());
+  message.set_from_address(options_.address);
+  message.set_to(to);
+  message.set_cluster_id(log_.config().cluster_id());
+  message.set_term(term_);
+  return message;
+}
+
+void Core::Impl::Post(const std::string& address,
+                      wire::ConsensusMessage message) {
+  outbox_.push_back({address, std::move(message)});
+}
+
+/// Sends without waiting for the sync of entries, which the message does not
+/// vouch for; its term must be durable, though.
+void Core::Impl::PostEarly(const std::string& address,
+                           wire::ConsensusMessage message) {
+  if (vote_dirty_)
+    Post(address, std::move(message));
+  else
+    env_.send(address, std::move(message));
+}
+
+void Core::Impl::SetVote(std::uint64_t term, const std::string& vote) {
+  term_ = term;
+  vote_ = vote;
+  vote_dirty_ = true;
+  env_.storage.SetVote(term, vote);
+}
+
+void Core::Impl::BecomeFollower(std::uint64_t term) {
+  if (role_ == Role::kLeader) {
+    support::LogInfo("log.leader_stepped_down", {{"term", term_}});
+    current_as_of_ = CurrentAsOf();
+  }
+  role_ = Role::kFollower;
+  followers_.clear();
+  votes_.clear();
+  leader_.clear();
+  leader_address_.clear();
+  ResetElectionDeadline();
+  if (term > term_)
+    SetVote(term, "");
+  FailProposals();
+}
+
+void Core::Impl::FailProposals() {
+  const auto appended = std::exchange(waiting_, {});
+  const auto pending = std::exchange(proposals_, {});
+  for (const auto& [index, done] : appended)
+    done({.status = ProposeStatus::kUncertain, .index = index, .result = ""});
+  for (const Proposal& proposal : pending)
+    proposal.done({});
+}
+
+void Core::Impl::Propose(std::string command, Done done) {
+  const std::size_t open = proposals_.size() + waiting_.size();
+  if (!IsCurrentLeader() || open >= options_.max_proposals)
+    return done({});
+  proposals_.push_back({std::move(command), std::move(done)});
+}
+
+void Core::Impl::AppendEntry(wire::EntryKind kind, std::string payload) {
+  wire::LogEntry entry;
+  entry.set_index(log_.last_index() + 1);
+  entry.set_term(term_);
+  entry.set_kind(kind);
+  entry.set_payload(std::move(payload));
+  env_.storage.Append(entry);
+  log_.Append(std::move(entry));
+}
+
+void Core::Impl::AppendProposals() {
+  for (Proposal& proposal : std::exchange(proposals_, {})) {
+    AppendEntry(wire::ENTRY_KIND_COMMAND, std::move(proposal.command));
+    waiting_[log_.last_index()] = std::move(proposal.done);
+  }
+}
+
+void Core::Impl::ApplyCommitted() {
+  while (applied_index_ < commit_index_) {
+    const wire::LogEntry entry = log_.At(applied_index_ + 1);
+    // Set first: callbacks may ask for the state that includes the entry.
+    applied_index_ = entry.index();
+    applied_bytes_since_snapshot_ += entry.payload().size();
+    ApplyEntry(entry);
+  }
+  ConfirmFreshness();
+}
+
+void Core::Impl::ApplyEntry(const wire::LogEntry& entry) {
+  if (entry.kind() == wire::ENTRY_KIND_COMMAND) {
+    std::string result = env_.machine.Apply(entry.index(), entry.payload());
+    const auto found = waiting_.find(entry.index());
+    if (found == waiting_.end())
+      return;
+    const Done done = std::move(found->second);
+    waiting_.erase(found);
+    done({.status = ProposeStatus::kCommitted,
+          .index = entry.index(),
+          .result = std::move(result)});
+  } else if (entry.kind() == wire::ENTRY_KIND_CONFIG &&
+             role_ == Role::kLeader && !IsVoter(Self())) {
+    BecomeFollower(term_);
+  }
+}
+
+void Core::Impl::ConfirmFreshness() {
+  while (confirmations_.size() > kMaxConfirmations)
+    confirmations_.pop_back();
+  while (!confirmations_.empty() &&
+         confirmations_.front().commit <= applied_index_) {
+    current_as_of_ =
+        std::max(current_as_of_, confirmations_.front().current_as_of);
+    confirmations_.pop_front();
+  }
+}
+
+bool Core::Impl::IsCurrentLeader() const {
+  return role_ == Role::kLeader && applied_index_ >= term_start_index_ &&
+         Now() < MajorityContact() + options_.lease;
+}
+
+support::TimePoint Core::Impl::CurrentAsOf() const {
+  if (role_ != Role::kLeader || applied_index_ < term_start_index_)
+    return current_as_of_;
+  return std::max(current_as_of_,
+                  IsCurrentLeader() ? Now() : MajorityContact());
+}
+
+CoreStatus Core::Impl::Status() const {
+  return {.role = role_,
+          .term = term_,
+          .last_index = log_.last_index(),
+          .commit_index = commit_index_,
+          .applied_index = applied_index_,
+          .snapshot_index = snapshot_index_,
+          .identity = Self(),
+          .config = log_.config()};
+}
+
+Core::Core(CoreOptions options, Environment environment)
+    : impl_(
+          std::make_unique<Impl>(std::move(options), std::move(environment))) {}
+Core::~Core() = default;
+
+void Core::Receive(const wire::ConsensusMessage& message) {
+  impl_->Receive(message);
+}
+void Core::Tick() {
+  impl_->Tick();
+}
+void Core::Flush() {
+  impl_->Flush();
+}
+void Core::Propose(std::string command, Done done) {
+  impl_->Propose(std::move(command), std::move(done));
+}
+bool Core::RemoveMember(const std::string& identity) {
+  return impl_->RemoveMember(identity);
+}
+bool Core::IsCurrentLeader() const {
+  return impl_->IsCurrentLeader();
+}
+std::string Core::LeaderAddress() const {
+  return impl_->LeaderAddress();
+}
+support::TimePoint Core::CurrentAsOf() const {
+  return impl_->CurrentAsOf();
+}
+CoreStatus Core::status() const {
+  return impl_->Status();
+}
+
+}  // namespace yuccastair::consensus
--- /dev/null
+++ b/lib/consensus/core_election.cc
@@ -0,0 +1,165 @@
+// Pre-vote, election and the leader's lease.
+
+#include <algorithm>
+#include <functional>
+
+#include "core_impl.h"
+#include "yuccastair/support/log.h"
+
+namespace yuccastair::consensus {
+
+void Core::Impl::ResetElectionDeadline() {
+  const auto spread = options_.election_max - options_.election_min;
+  const auto extra = std::chrono::milliseconds(
+      env_.random(static_cast<std::uint32_t>(spread.count()) + 1));
+  election_deadline_ = Now() + options_.election_min + extra;
+}
+
+/// Asks whether an election could be won, without disturbing a leader that the
+/// others still hear: no term changes.
+void Core::Impl::StartPreVote() {
+  role_ = Role::kPreCandidate;
+  leader_.clear();
+  leader_address_.clear();
+  votes_.clear();
+  RequestVotes(true, term_ + 1);
+  CountVote(Self());
+}
+
+void Core::Impl::StartElection() {
+  role_ = Role::kCandidate;
+  SetVote(term_ + 1, Self());
+  votes_.clear();
+  ResetElectionDeadline();
+  RequestVotes(false, term_);
+  CountVote(Self());
+}
+
+void Core::Impl::RequestVotes(bool pre_vote, std::uint64_t candidate_term) {
+  for (const wire::ConsensusMember& member : log_.config().members()) {
+    if (member.learner() || member.identity() == Self())
+      continue;
+    wire::ConsensusMessage message = Message(member.identity());
+    wire::VoteRequest* request = message.mutable_vote_request();
+    request->set_pre_vote(pre_vote);
+    request->set_candidate_term(candidate_term);
+    request->set_last_index(log_.last_index());
+    request->set_last_term(log_.last_term());
+    Post(member.address(), std::move(message));
+  }
+}
+
+void Core::Impl::CountVote(const std::string& identity) {
+  if (!IsVoter(identity))
+    return;
+  votes_.insert(identity);
+  if (votes_.size() < Majority())
+    return;
+  if (role_ == Role::kPreCandidate)
+    StartElection();
+  else if (role_ == Role::kCandidate)
+    BecomeLeader();
+}
+
+void Core::Impl::BecomeLeader() {
+  role_ = Role::kLeader;
+  leader_ = Self();
+  leader_address_ = options_.address;
+  leader_since_ = Now();
+  votes_.clear();
+  followers_.clear();
+  RefreshFollowers();
+  // Entries of earlier terms are committed only through one of this term.
+  AppendEntry(wire::ENTRY_KIND_NOOP, "");
+  term_start_index_ = log_.last_index();
+  support::LogInfo("log.leader_elected", {{"term", term_}});
+}
+
+bool Core::Impl::HeardFromLeader() const {
+  if (role_ == Role::kLeader)
+    return Now() < MajorityContact() + options_.lease;
+  return Now() < leader_contact_ + options_.election_min;
+}
+
+bool Core::Impl::IsLogUpToDate(const wire::VoteRequest& request) const {
+  if (request.last_term() != log_.last_term())
+    return request.last_term() > log_.last_term();
+  return request.last_index() >= log_.last_index();
+}
+
+void Core::Impl::HandleVoteRequest(const wire::ConsensusMessage& message) {
+  const wire::VoteRequest& request = message.vote_request();
+  // The leader's lease rests on this: no vote, and no new term, as long as a
+  // leader may count on this process.
+  const bool refuse = HeardFromLeader();
+  if (!request.pre_vote() && !refuse && request.candidate_term() > term_)
+    BecomeFollower(request.candidate_term());
+  bool granted = !refuse && IsLogUpToDate(request);
+  if (request.pre_vote()) {
+    granted &= request.candidate_term() > term_;
+  } else {
+    granted &= request.candidate_term() == term_ &&
+               (vote_.empty() || vote_ == message.from());
+    if (granted && vote_.empty())
+      SetVote(term_, message.from());
+    if (granted)
+      ResetElectionDeadline();
+  }
+  wire::ConsensusMessage answer = Message(message.from());
+  wire::VoteReply* reply = answer.mutable_vote_reply();
+  reply->set_pre_vote(request.pre_vote());
+  reply->set_candidate_term(request.candidate_term());
+  reply->set_granted(granted);
+  Post(message.from_address(), std::move(answer));
+}
+
+void Core::Impl::HandleVoteReply(const wire::ConsensusMessage& message) {
+  const wire::VoteReply& reply = message.vote_reply();
+  const bool expected =
+      reply.pre_vote()
+          ? role_ == Role::kPreCandidate && reply.candidate_term() == term_ + 1
+          : role_ == Role::kCandidate && reply.candidate_term() == term_;
+  if (expected && reply.granted())
+    CountVote(message.from());
+}
+
+/// Returns the latest time at which a majority still followed this leader: the
+/// sending time of the newest message that each of them has answered.
+support::TimePoint Core::Impl::MajorityContact() const {
+  std::vector<TimePoint> contacts;
+  for (const wire::ConsensusMember& member : log_.config().members()) {
+    if (member.learner())
+      continue;
+    const auto found = followers_.find(member.identity());
+    if (member.identity() == Self())
+      contacts.push_back(Now());
+    else
+      contacts.push_back(found == followers_.end()
+                             ? TimePoint()
+                             : found->second.acknowledged_sent_at);
+  }
+  if (contacts.empty())
+    return {};
+  std::sort(contacts.begin(), contacts.end(), std::greater<>());
+  return contacts[Majority() - 1];
+}
+
+void Core::Impl::TickLeader() {
+  const TimePoint contact = std::max(MajorityContact(), leader_since_);
+  if (Now() >= contact + options_.election_min) {
+    support::LogWarning("log.majority_lost", {{"term", term_}});
+    BecomeFollower(term_);
+    return;
+  }
+  for (auto& [identity, follower] : followers_) {
+    if (follower.in_flight != 0 &&
+        Now() >= follower.in_flight_since + options_.resend)
+      follower.in_flight = 0;
+    if (Now() >= follower.last_sent + options_.heartbeat)
+      SendHeartbeat(identity, follower);
+  }
+  if (CanChangeConfig() && !PromoteLearner())
+    AdmitLearner();
+}
+
+}  // namespace yuccastair::consensus
--- /dev/null
+++ b/lib/consensus/core_impl.h
@@ -0,0 +1,204 @@
+// The state of the log core; its parts are in core_*.cc.
+
+#ifndef YUCCASTAIR_LIB_CONSENSUS_CORE_IMPL_H_
+#define YUCCASTAIR_LIB_CONSENSUS_CORE_IMPL_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "entry_log.h"
+#include "yuccastair/consensus/core.h"
+
+namespace yuccastair::consensus {
+
+class Core::Impl {
+ public:
+  Impl(CoreOptions options, Environment environment);
+
+  void Receive(const wire::ConsensusMessage& message);
+  void Tick();
+  void Flush();
+  void Propose(std::string command, Done done);
+  bool RemoveMember(const std::string& identity);
+  bool IsCurrentLeader() const;
+  std::string LeaderAddress() const { return leader_address_; }
+  support::TimePoint CurrentAsOf() const;
+  CoreStatus Status() const;
+
+ private:
+  using TimePoint = support::TimePoint;
+
+  // What a leader knows of another member.
+  struct Follower {
+    std::string address;
+    std::uint64_t next = 1;
+    // Highest index known to be durable there; never decreases in a term.
+    std::uint64_t match = 0;
+    std::uint64_t sequence = 0;
+    // Sequence of the message with entries that awaits its answer; 0 for none.
+    std::uint64_t in_flight = 0;
+    TimePoint in_flight_since;
+    TimePoint last_sent;
+    // When the latest message that was answered had been sent.
+    TimePoint acknowledged_sent_at;
+    // Latest freshness query, until a confirmation is sent.
+    std::optional<wire::FreshnessQuery> query;
+    // Set while a snapshot is transferred.
+    std::shared_ptr<const wire::SnapshotFile> transfer;
+    std::uint64_t transfer_offset = 0;
+  };
+  struct Proposal {
+    std::string command;
+    Done done;
+  };
+  struct Greeting {
+    std::string identity;
+    TimePoint at;
+    // When it last told this very process that it has no configuration.
+    TimePoint empty_at;
+  };
+  // A confirmation that holds once `commit` has been applied here.
+  struct Confirmation {
+    std::uint64_t commit = 0;
+    TimePoint current_as_of;
+  };
+  struct IncomingSnapshot {
+    wire::SnapshotMeta meta;
+    std::string data;
+  };
+
+  // core.cc
+  void LoadState();
+  TimePoint Now() const { return env_.clock.Now(); }
+  const std::string& Self() const { return env_.storage.Identity(); }
+  wire::ConsensusMessage Message(const std::string& to) const;
+  void Post(const std::string& address, wire::ConsensusMessage message);
+  void PostEarly(const std::string& address, wire::ConsensusMessage message);
+  void SetVote(std::uint64_t term, const std::string& vote);
+  void BecomeFollower(std::uint64_t term);
+  void FailProposals();
+  void AppendEntry(wire::EntryKind kind, std::string payload);
+  void AppendProposals();
+  void ApplyCommitted();
+  void ApplyEntry(const wire::LogEntry& entry);
+  void ConfirmFreshness();
+
+  // core_election.cc
+  void ResetElectionDeadline();
+  void StartPreVote();
+  void StartElection();
+  void RequestVotes(bool pre_vote, std::uint64_t candidate_term);
+  void CountVote(const std::string& identity);
+  void BecomeLeader();
+  bool HeardFromLeader() const;
+  bool IsLogUpToDate(const wire::VoteRequest& request) const;
+  void HandleVoteRequest(const wire::ConsensusMessage& message);
+  void HandleVoteReply(const wire::ConsensusMessage& message);
+  TimePoint MajorityContact() const;
+  void TickLeader();
+
+  // core_replication.cc
+  void SendEntries(const std::string& identity, Follower& follower);
+  void SendHeartbeat(const std::string& identity, Follower& follower);
+  wire::ConsensusMessage AppendMessage(const std::string& identity,
+                                       Follower& follower,
+                                       std::uint64_t prev_index);
+  void ReplicateAll();
+  void AcceptLeader(const wire::ConsensusMessage& message);
+  void HandleAppend(const wire::ConsensusMessage& message);
+  void TakeEntries(const wire::AppendRequest& append);
+  void ReplyToAppend(const wire::ConsensusMessage& message,
+                     bool success,
+                     std::uint64_t index);
+  void HandleAppendReply(const wire::ConsensusMessage& message);
+  void NoteAnswer(Follower& follower,
+                  std::uint64_t sequence,
+                  std::int64_t sent_at_ns);
+  void AdvanceCommit();
+
+  // core_snapshot.cc
+  void SnapshotIfDue();
+  void StartTransfer(Follower& follower);
+  void SendChunk(const std::string& identity, Follower& follower);
+  void HandleSnapshot(const wire::ConsensusMessage& message);
+  void InstallSnapshot();
+  void HandleSnapshotReply(const wire::ConsensusMessage& message);
+
+  // core_membership.cc
+  const wire::ConsensusMember* FindMember(const std::string& identity) const;
+  bool IsVoter(const std::string& identity) const;
+  std::size_t Majority() const;
+  bool CanChangeConfig() const;
+  void ProposeConfig(const wire::ConsensusConfig& config);
+  void RefreshFollowers();
+  bool IsCaughtUp(const std::string& identity) const;
+  bool PromoteLearner();
+  bool AdmitLearner();
+  void SendHellos();
+  void HandleHello(const wire::ConsensusMessage& message);
+  void BootstrapIfPossible();
+
+  const CoreOptions options_;
+  const Environment env_;
+  // Distinguishes this start of the process in freshness queries.
+  std::uint64_t session_ = 0;
+
+  // Durable: term, vote and the entries of log_ up to synced_index_.
+  std::uint64_t term_ = 0;
+  std::string vote_;
+  EntryLog log_;
+  std::uint64_t synced_index_ = 0;
+  bool vote_dirty_ = false;
+
+  Role role_ = Role::kFollower;
+  std::string leader_;
+  std::string leader_address_;
+  // Start of the process, or the last message of a leader. A process that
+  // restarts has forgotten whom it heard, so the start counts as contact.
+  TimePoint leader_contact_;
+  TimePoint election_deadline_;
+  std::set<std::string> votes_;
+
+  // snapshot_index_ <= applied_index_ <= commit_index_ <= log_.last_index().
+  std::uint64_t commit_index_ = 0;
+  std::uint64_t applied_index_ = 0;
+  std::uint64_t snapshot_index_ = 0;
+  std::size_t applied_bytes_since_snapshot_ = 0;
+  std::optional<IncomingSnapshot> incoming_;
+
+  // Of a leader.
+  std::map<std::string, Follower> followers_;
+  TimePoint leader_since_;
+  // Index of the no-op entry with which the term started.
+  std::uint64_t term_start_index_ = 0;
+  std::vector<Proposal> proposals_;
+  std::map<std::uint64_t, Done> waiting_;
+
+  std::deque<Confirmation> confirmations_;
+  TimePoint current_as_of_;
+
+  // Last greeting from each configured address.
+  std::map<std::string, Greeting> greetings_;
+  TimePoint last_hello_;
+
+  struct Outgoing {
+    std::string address;
+    wire::ConsensusMessage message;
+  };
+  // Sent by Flush() once everything written so far is durable.
+  std::vector<Outgoing> outbox_;
+};
+
+/// Converts to and from the opaque times in messages.
+std::int64_t ToNanoseconds(support::TimePoint time);
+support::TimePoint FromNanoseconds(std::int64_t nanoseconds);
+
+}  // namespace yuccastair::consensus
+
+#endif  // YUCCASTAIR_LIB_CONSENSUS_CORE_IMPL_H_
--- /dev/null
+++ b/lib/consensus/core_membership.cc
@@ -0,0 +1,204 @@
+// Formation of a cluster and one-at-a-time changes of its members.
+
+#include <algorithm>
+
+#include "core_impl.h"
+#include "yuccastair/support/log.h"
+
+namespace yuccastair::consensus {
+namespace {
+
+// A greeting older than this no longer shows who is at an address.
+constexpr std::chrono::milliseconds kGreetingLifetime{1000};
+
+}  // namespace
+
+const wire::ConsensusMember* Core::Impl::FindMember(
+    const std::string& identity) const {
+  for (const wire::ConsensusMember& member : log_.config().members()) {
+    if (member.identity() == identity)
+      return &member;
+  }
+  return nullptr;
+}
+
+bool Core::Impl::IsVoter(const std::string& identity) const {
+  const wire::ConsensusMember* member = FindMember(identity);
+  return member && !member->learner();
+}
+
+std::size_t Core::Impl::Majority() const {
+  const auto& members = log_.config().members();
+  const auto voters = std::count_if(
+      members.begin(), members.end(),
+      [](const wire::ConsensusMember& member) { return !member.learner(); });
+  return static_cast<std::size_t>(voters) / 2 + 1;
+}
+
+/// One change at a time, and none before an entry of this term is committed:
+/// otherwise two majorities that do not overlap could arise.
+bool Core::Impl::CanChangeConfig() const {
+  return IsCurrentLeader() && log_.config_index() <= commit_index_;
+}
+
+void Core::Impl::ProposeConfig(const wire::ConsensusConfig& config) {
+  AppendEntry(wire::ENTRY_KIND_CONFIG, config.SerializeAsString());
+  RefreshFollowers();
+}
+
+void Core::Impl::RefreshFollowers() {
+  for (auto it = followers_.begin(); it != followers_.end();)
+    it = FindMember(it->first) ? std::next(it) : followers_.erase(it);
+  for (const wire::ConsensusMember& member : log_.config().members()) {
+    if (member.identity() == Self())
+      continue;
+    const auto [it, added] = followers_.try_emplace(member.identity());
+    it->second.address = member.address();
+    if (added)
+      it->second.next = log_.last_index() + 1;
+  }
+}
+
+bool Core::Impl::IsCaughtUp(const std::string& identity) const {
+  const auto found = followers_.find(identity);
+  return found != followers_.end() && found->second.match >= commit_index_ &&
+         Now() < found->second.acknowledged_sent_at + options_.lease;
+}
+
+/// Makes a learner that has caught up a voter. The member that was lost at its
+/// address goes first, so that the number of voters never exceeds the number of
+/// processes.
+bool Core::Impl::PromoteLearner() {
+  for (const wire::ConsensusMember& learner : log_.config().members()) {
+    if (!learner.learner() || !IsCaughtUp(learner.identity()))
+      continue;
+    wire::ConsensusConfig config = log_.config();
+    auto* members = config.mutable_members();
+    const auto lost =
+        std::find_if(members->begin(), members->end(), [&](const auto& member) {
+          return member.address() == learner.address() && !member.learner();
+        });
+    if (lost != members->end()) {
+      support::LogInfo("log.member_removed", {{"address", lost->address()},
+                                              {"identity", lost->identity()}});
+      members->erase(lost);
+    } else {
+      support::LogInfo(
+          "log.member_promoted",
+          {{"address", learner.address()}, {"identity", learner.identity()}});
+      for (wire::ConsensusMember& member : *members) {
+        if (member.identity() == learner.identity())
+          member.set_learner(false);
+      }
+    }
+    ProposeConfig(config);
+    return true;
+  }
+  return false;
+}
+
+bool Core::Impl::AdmitLearner() {
+  for (const auto& [address, greeting] : greetings_) {
+    if (Now() >= greeting.at + kGreetingLifetime ||
+        FindMember(greeting.identity))
+      continue;
+    wire::ConsensusConfig config = log_.config();
+    auto* members = config.mutable_members();
+    members->erase(std::remove_if(members->begin(), members->end(),
+                                  [&](const wire::ConsensusMember& member) {
+                                    return member.learner() &&
+                                           member.address() == address;
+                                  }),
+                   members->end());
+    wire::ConsensusMember* learner = members->Add();
+    learner->set_identity(greeting.identity);
+    learner->set_address(address);
+    learner->set_learner(true);
+    support::LogInfo("log.learner_added",
+                     {{"address", address}, {"identity", greeting.identity}});
+    ProposeConfig(config);
+    return true;
+  }
+  return false;
+}
+
+bool Core::Impl::RemoveMember(const std::string& identity) {
+  if (!CanChangeConfig() || !FindMember(identity))
+    return false;
+  wire::ConsensusConfig config = log_.config();
+  auto* members = config.mutable_members();
+  members->erase(std::remove_if(members->begin(), members->end(),
+                                [&](const wire::ConsensusMember& member) {
+                                  return member.identity() == identity;
+                                }),
+                 members->end());
+  ProposeConfig(config);
+  return true;
+}
+
+/// A process that is no member makes itself known until it is one.
+void Core::Impl::SendHellos() {
+  if (FindMember(Self()) || Now() < last_hello_ + options_.hello)
+    return;
+  last_hello_ = Now();
+  for (const std::string& address : options_.peers) {
+    if (address == options_.address)
+      continue;
+    wire::ConsensusMessage message = Message("");
+    message.mutable_hello()->set_has_state(log_.config().members_size() > 0);
+    Post(address, std::move(message));
+  }
+}
+
+void Core::Impl::HandleHello(const wire::ConsensusMessage& message) {
+  const std::string& address = message.from_address();
+  if (std::find(options_.peers.begin(), options_.peers.end(), address) ==
+      options_.peers.end())
+    return;
+  Greeting& greeting = greetings_[address];
+  if (greeting.identity != message.from())
+    greeting = {.identity = message.from(), .at = {}, .empty_at = {}};
+  greeting.at = Now();
+  // Only an answer to this identity was certainly sent after this process had
+  // started, that is after any earlier process at this address had ended.
+  if (message.hello().has_state())
+    greeting.empty_at = {};
+  else if (message.to() == Self())
+    greeting.empty_at = Now();
+  if (message.hello().answer())
+    return;
+  wire::ConsensusMessage answer = Message(message.from());
+  answer.mutable_hello()->set_answer(true);
+  answer.mutable_hello()->set_has_state(log_.config().members_size() > 0);
+  Post(address, std::move(answer));
+}
+
+/// Forms a new cluster if every configured process has just said that it holds
+/// no configuration. Only the one with the lowest address does so.
+void Core::Impl::BootstrapIfPossible() {
+  if (log_.config().members_size() > 0 || log_.last_index() > 0)
+    return;
+  wire::ConsensusConfig config;
+  config.set_cluster_id(Self());
+  wire::ConsensusMember* self = config.add_members();
+  self->set_identity(Self());
+  self->set_address(options_.address);
+  for (const std::string& address : options_.peers) {
+    if (address == options_.address)
+      continue;
+    const auto found = greetings_.find(address);
+    if (address < options_.address || found == greetings_.end() ||
+        Now() >= found->second.empty_at + kGreetingLifetime)
+      return;
+    wire::ConsensusMember* member = config.add_members();
+    member->set_identity(found->second.identity);
+    member->set_address(address);
+  }
+  if (term_ == 0)
+    SetVote(1, "");
+  AppendEntry(wire::ENTRY_KIND_CONFIG, config.SerializeAsString());
+  support::LogInfo("log.cluster_formed", {{"cluster", config.cluster_id()},
+                                          {"members", config.members_size()}});
+}
+
+}  // namespace yuccastair::consensus
--- /dev/null
+++ b/lib/consensus/core_snapshot.cc
@@ -0,0 +1,127 @@
+// Snapshots: taking them, and transferring them to members far behind.
+
+#include <algorithm>
+#include <utility>
+
+#include "core_impl.h"
+#include "yuccastair/support/log.h"
+
+namespace yuccastair::consensus {
+
+void Core::Impl::SnapshotIfDue() {
+  if (applied_index_ - snapshot_index_ < options_.snapshot_entries &&
+      applied_bytes_since_snapshot_ < options_.snapshot_bytes)
+    return;
+  wire::SnapshotFile snapshot;
+  wire::SnapshotMeta* meta = snapshot.mutable_meta();
+  meta->set_index(applied_index_);
+  meta->set_term(*log_.TermAt(applied_index_));
+  *meta->mutable_config() = log_.ConfigAt(applied_index_);
+  snapshot.set_data(env_.machine.TakeSnapshot());
+  const std::uint64_t dropped =
+      applied_index_ - std::min(applied_index_, options_.retained_entries);
+  env_.storage.SaveSnapshot(snapshot, log_.From(dropped + 1));
+  log_.DropUpTo(dropped);
+  snapshot_index_ = applied_index_;
+  applied_bytes_since_snapshot_ = 0;
+  support::LogInfo("log.snapshot_taken", {{"index", snapshot_index_},
+                                          {"bytes", snapshot.data().size()}});
+}
+
+void Core::Impl::StartTransfer(Follower& follower) {
+  // Members that need the same snapshot at the same time share its memory.
+  for (const auto& [identity, other] : followers_) {
+    if (other.transfer && other.transfer->meta().index() == snapshot_index_)
+      follower.transfer = other.transfer;
+  }
+  if (!follower.transfer)
+    follower.transfer =
+        std::make_shared<const wire::SnapshotFile>(env_.storage.ReadSnapshot());
+  follower.transfer_offset = 0;
+}
+
+void Core::Impl::SendChunk(const std::string& identity, Follower& follower) {
+  wire::ConsensusMessage message = Message(identity);
+  wire::SnapshotChunk* chunk = message.mutable_snapshot();
+  const std::string& data = follower.transfer->data();
+  chunk->set_sequence(++follower.sequence);
+  *chunk->mutable_meta() = follower.transfer->meta();
+  chunk->set_offset(follower.transfer_offset);
+  chunk->set_total(data.size());
+  chunk->set_data(data.substr(
+      std::min<std::uint64_t>(follower.transfer_offset, data.size()),
+      options_.snapshot_chunk_bytes));
+  chunk->set_sent_at_ns(ToNanoseconds(Now()));
+  follower.in_flight = follower.sequence;
+  follower.in_flight_since = Now();
+  follower.last_sent = Now();
+  PostEarly(follower.address, std::move(message));
+}
+
+void Core::Impl::HandleSnapshot(const wire::ConsensusMessage& message) {
+  const wire::SnapshotChunk& chunk = message.snapshot();
+  wire::ConsensusMessage answer = Message(message.from());
+  wire::SnapshotReply* reply = answer.mutable_snapshot_reply();
+  reply->set_sequence(chunk.sequence());
+  reply->set_index(chunk.meta().index());
+  reply->set_sent_at_ns(chunk.sent_at_ns());
+  if (message.term() == term_) {
+    AcceptLeader(message);
+    if (chunk.offset() == 0)
+      incoming_ = IncomingSnapshot{chunk.meta(), ""};
+    if (incoming_ && incoming_->meta.index() == chunk.meta().index() &&
+        incoming_->meta.term() == chunk.meta().term()) {
+      if (incoming_->data.size() == chunk.offset())
+        incoming_->data += chunk.data();
+      reply->set_next_offset(incoming_->data.size());
+      if (incoming_->data.size() == chunk.total())
+        InstallSnapshot();
+    }
+    reply->set_installed(commit_index_ >= chunk.meta().index());
+  }
+  Post(message.from_address(), std::move(answer));
+}
+
+void Core::Impl::InstallSnapshot() {
+  wire::SnapshotFile snapshot;
+  *snapshot.mutable_meta() = std::move(incoming_->meta);
+  snapshot.set_data(std::move(incoming_->data));
+  incoming_.reset();
+  const wire::SnapshotMeta& meta = snapshot.meta();
+  if (meta.index() <= commit_index_)
+    return;
+  std::vector<wire::LogEntry> retained;
+  if (log_.TermAt(meta.index()) == meta.term())
+    retained = log_.From(meta.index() + 1);
+  env_.storage.SaveSnapshot(snapshot, retained);
+  env_.machine.RestoreSnapshot(snapshot.data());
+  log_.Reset(meta);
+  for (wire::LogEntry& entry : retained)
+    log_.Append(std::move(entry));
+  snapshot_index_ = applied_index_ = commit_index_ = meta.index();
+  applied_bytes_since_snapshot_ = 0;
+  support::LogInfo("log.snapshot_installed", {{"index", meta.index()}});
+}
+
+void Core::Impl::HandleSnapshotReply(const wire::ConsensusMessage& message) {
+  const auto found = followers_.find(message.from());
+  if (role_ != Role::kLeader || message.term() != term_ ||
+      found == followers_.end())
+    return;
+  Follower& follower = found->second;
+  const wire::SnapshotReply& reply = message.snapshot_reply();
+  const bool current = reply.sequence() == follower.in_flight;
+  NoteAnswer(follower, reply.sequence(), reply.sent_at_ns());
+  if (!follower.transfer || !current ||
+      reply.index() != follower.transfer->meta().index())
+    return;
+  if (!reply.installed()) {
+    follower.transfer_offset = reply.next_offset();
+    return;
+  }
+  follower.transfer.reset();
+  follower.match = std::max(follower.match, reply.index());
+  follower.next = follower.match + 1;
+}
+
+}  // namespace yuccastair::consensus
--- /dev/null
+++ b/lib/consensus/entry_log.cc
@@ -0,0 +1,71 @@
+// Keeps entries and the configurations among them in step.
+
+#include "entry_log.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace yuccastair::consensus {
+
+std::optional<std::uint64_t> EntryLog::TermAt(std::uint64_t index) const {
+  if (index == base_index_)
+    return base_term_;
+  if (index < base_index_ || index > last_index())
+    return std::nullopt;
+  return At(index).term();
+}
+
+void EntryLog::Append(wire::LogEntry entry) {
+  assert(entry.index() == last_index() + 1 && "entries must be consecutive");
+  if (entry.kind() == wire::ENTRY_KIND_CONFIG) {
+    wire::ConsensusConfig config;
+    config.ParseFromString(entry.payload());
+    configs_.emplace_back(entry.index(), std::move(config));
+  }
+  bytes_ += entry.payload().size();
+  entries_.push_back(std::move(entry));
+}
+
+void EntryLog::TruncateFrom(std::uint64_t index) {
+  while (last_index() >= index && !entries_.empty()) {
+    bytes_ -= entries_.back().payload().size();
+    entries_.pop_back();
+  }
+  while (configs_.size() > 1 && configs_.back().first >= index)
+    configs_.pop_back();
+}
+
+void EntryLog::DropUpTo(std::uint64_t index) {
+  while (base_index_ < index && !entries_.empty()) {
+    base_term_ = entries_.front().term();
+    ++base_index_;
+    bytes_ -= entries_.front().payload().size();
+    entries_.pop_front();
+  }
+  while (configs_.size() > 1 && configs_[1].first <= base_index_)
+    configs_.pop_front();
+}
+
+void EntryLog::Reset(const wire::SnapshotMeta& meta) {
+  entries_.clear();
+  bytes_ = 0;
+  base_index_ = meta.index();
+  base_term_ = meta.term();
+  configs_.assign(1, {meta.index(), meta.config()});
+}
+
+std::vector<wire::LogEntry> EntryLog::From(std::uint64_t index) const {
+  std::vector<wire::LogEntry> entries;
+  for (std::uint64_t i = std::max(index, first_index()); i <= last_index(); ++i)
+    entries.push_back(At(i));
+  return entries;
+}
+
+const wire::ConsensusConfig& EntryLog::ConfigAt(std::uint64_t index) const {
+  auto found = configs_.rbegin();
+  while (found->first > index && std::next(found) != configs_.rend())
+    ++found;
+  return found->second;
+}
+
+}  // namespace yuccastair::consensus
--- /dev/null
+++ b/lib/consensus/files.cc
@@ -0,0 +1,150 @@
+// File operations through POSIX calls.
+
+#include "yuccastair/consensus/files.h"
+
+#include <fcntl.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "yuccastair/support/error.h"
+
+namespace yuccastair::consensus {
+namespace {
+
+constexpr int kFileMode = 0640;
+
+[[noreturn]] void ThrowErrno(const std::string& step, const std::string& path) {
+  throw support::Error(step, "", path + ": " + std::strerror(errno));
+}
+
+}  // namespace
+
+PosixFiles::~PosixFiles() {
+  for (const auto& [path, descriptor] : open_)
+    close(descriptor);
+  if (lock_ >= 0)
+    close(lock_);
+}
+
+void PosixFiles::CreateDirectory(const std::string& path) {
+  std::error_code error;
+  const bool created = std::filesystem::create_directories(path, error);
+  if (error)
+    throw support::Error("create data directory", "",
+                         path + ": " + error.message());
+  if (created)
+    SyncDirectory(path + "/..");
+}
+
+std::uint64_t PosixFiles::Lock(const std::string& path) {
+  lock_ = open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, kFileMode);
+  if (lock_ < 0)
+    ThrowErrno("lock data directory", path);
+  if (flock(lock_, LOCK_EX | LOCK_NB) != 0) {
+    if (errno == EWOULDBLOCK)
+      throw support::Error("lock data directory", "",
+                           path + " is locked by another process");
+    ThrowErrno("lock data directory", path);
+  }
+  struct stat status {};
+  if (fstat(lock_, &status) != 0)
+    ThrowErrno("lock data directory", path);
+  return status.st_ino;
+}
+
+bool PosixFiles::Exists(const std::string& path) {
+  if (access(path.c_str(), F_OK) == 0)
+    return true;
+  if (errno != ENOENT)
+    ThrowErrno("look up file", path);
+  return false;
+}
+
+std::string PosixFiles::Read(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream content;
+  if (file.peek() != std::ifstream::traits_type::eof())
+    content << file.rdbuf();
+  if (file.bad() || content.bad() || !file.is_open())
+    ThrowErrno("read file", path);
+  return content.str();
+}
+
+int PosixFiles::Descriptor(const std::string& path) {
+  const auto found = open_.find(path);
+  if (found != open_.end())
+    return found->second;
+  const int descriptor =
+      open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, kFileMode);
+  if (descriptor < 0)
+    ThrowErrno("open file", path);
+  open_[path] = descriptor;
+  return descriptor;
+}
+
+void PosixFiles::CloseDescriptor(const std::string& path) {
+  const auto found = open_.find(path);
+  if (found == open_.end())
+    return;
+  close(found->second);
+  open_.erase(found);
+}
+
+void PosixFiles::Append(const std::string& path, const std::string& data) {
+  const int descriptor = Descriptor(path);
+  std::size_t written = 0;
+  while (written < data.size()) {
+    const ssize_t count =
+        write(descriptor, data.data() + written, data.size() - written);
+    if (count < 0 && errno == EINTR)
+      continue;
+    if (count <= 0)
+      ThrowErrno("write file", path);
+    written += static_cast<std::size_t>(count);
+  }
+}
+
+void PosixFiles::Sync(const std::string& path) {
+  // fdatasync also writes the file size, which is all the metadata needed.
+  if (fdatasync(Descriptor(path)) != 0)
+    ThrowErrno("sync file", path);
+}
+
+void PosixFiles::Truncate(const std::string& path, std::uint64_t size) {
+  if (ftruncate(Descriptor(path), static_cast<off_t>(size)) != 0)
+    ThrowErrno("truncate file", path);
+}
+
+void PosixFiles::Rename(const std::string& from, const std::string& to) {
+  CloseDescriptor(from);
+  CloseDescriptor(to);
+  if (rename(from.c_str(), to.c_str()) != 0)
+    ThrowErrno("rename file", from);
+}
+
+void PosixFiles::SyncDirectory(const std::string& path) {
+  const int descriptor = open(path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (descriptor < 0)
+    ThrowErrno("open directory", path);
+  const bool synced = fsync(descriptor) == 0;
+  const int error = errno;
+  close(descriptor);
+  errno = error;
+  if (!synced)
+    ThrowErrno("sync directory", path);
+}
+
+void PosixFiles::Remove(const std::string& path) {
+  CloseDescriptor(path);
+  if (unlink(path.c_str()) != 0 && errno != ENOENT)
+    ThrowErrno("remove file", path);
+}
+
+}  // namespace yuccastair::consensus
