Test the log core and its storage under faults

Guards against lost, changed and stale entries. The exploration runs cores on the disk storage over files in memory that lose unsynced data; identities come from the seed, so that a seed gives the same run every time. Cause of a fault found: a learner's first entry was not sent until another proposal arrived, because its next index was set past the configuration entry.

--- a/include/yuccastair/consensus/disk_storage.h
+++ b/include/yuccastair/consensus/disk_storage.h
@@ -4,11 +4,13 @@
 #define YUCCASTAIR_CONSENSUS_DISK_STORAGE_H_
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
 #include "yuccastair/consensus/files.h"
 #include "yuccastair/consensus/storage.h"
+#include "yuccastair/support/id.h"
 
 namespace yuccastair::consensus {
 
@@ -23,8 +25,12 @@
 class DiskStorage final : public Storage {
  public:
   /// Opens the directory, and gives it an identity if it is empty. Throws Error
-  /// if it is locked, damaged, or a copy of another data directory.
-  DiskStorage(Files& files, std::string directory);
+  /// if it is locked, damaged, or a copy of another data directory. Identities
+  /// come from \p make_identity, so that tests are reproducible.
+  DiskStorage(Files& files,
+              std::string directory,
+              const std::function<std::string()>& make_identity =
+                  support::RandomId);
 
   const std::string& Identity() const override { return identity_; }
   StoredState TakeState() override;
--- a/lib/consensus/core_membership.cc
+++ b/lib/consensus/core_membership.cc
@@ -54,8 +54,9 @@
       continue;
     const auto [it, added] = followers_.try_emplace(member.identity());
     it->second.address = member.address();
+    // The last entry is sent at once, to find out where the logs match.
     if (added)
-      it->second.next = log_.last_index() + 1;
+      it->second.next = std::max<std::uint64_t>(log_.last_index(), 1);
   }
 }
 
--- a/lib/consensus/disk_storage.cc
+++ b/lib/consensus/disk_storage.cc
@@ -6,7 +6,6 @@
 
 #include "frame.h"
 #include "yuccastair/support/error.h"
-#include "yuccastair/support/id.h"
 #include "yuccastair/support/log.h"
 
 namespace yuccastair::consensus {
@@ -30,7 +29,9 @@
 
 }  // namespace
 
-DiskStorage::DiskStorage(Files& files, std::string directory)
+DiskStorage::DiskStorage(Files& files,
+                         std::string directory,
+                         const std::function<std::string()>& make_identity)
     : files_(files), directory_(std::move(directory)) {
   files_.CreateDirectory(directory_);
   lock_inode_ = files_.Lock(Path(kLock));
@@ -51,7 +52,7 @@
                  "there is a snapshot but no log; remove the data "
                  "directory so that the process rejoins as a new "
                  "member");
-  identity_ = support::RandomId();
+  identity_ = make_identity();
   RewriteLog({});
 }
 
--- /dev/null
+++ b/unittests/consensus/cluster_sim.h
@@ -0,0 +1,361 @@
+// A cluster of log cores under a deterministic scheduler, with the checks that
+// must hold at every step.
+
+#ifndef YUCCASTAIR_UNITTESTS_CONSENSUS_CLUSTER_SIM_H_
+#define YUCCASTAIR_UNITTESTS_CONSENSUS_CLUSTER_SIM_H_
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <stdexcept>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "memory_files.h"
+#include "yuccastair/consensus/core.h"
+#include "yuccastair/consensus/disk_storage.h"
+
+namespace yuccastair::consensus {
+
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+
+/// A safety property that did not hold.
+class Violation : public std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+inline void Require(bool holds, const std::string& message) {
+  if (!holds)
+    throw Violation(message);
+}
+
+/// Raised by the files of a process at the moment of its crash.
+struct Crash {};
+
+/// The clock of one process, with its own offset and rate.
+class SkewedClock final : public support::Clock {
+ public:
+  SkewedClock(const milliseconds& now, std::int64_t offset_ms, double rate)
+      : now_(now), offset_(offset_ms), rate_(rate) {}
+  support::TimePoint Now() const override { return At(now_); }
+  support::TimePoint At(milliseconds time) const {
+    const double ns = static_cast<double>(nanoseconds(time).count()) * rate_;
+    return support::TimePoint(offset_ +
+                              nanoseconds(static_cast<std::int64_t>(ns)));
+  }
+
+ private:
+  const milliseconds& now_;
+  const nanoseconds offset_;
+  const double rate_;
+};
+
+/// The commands in the order in which they were first applied anywhere.
+struct History {
+  std::vector<std::pair<std::uint64_t, std::string>> applied;
+  /// Number of leading commands of which a client has been told, by time.
+  std::vector<std::pair<milliseconds, std::size_t>> acknowledged{{{}, 0}};
+};
+
+/// Compares everything it applies with the common history.
+class CheckingMachine final : public StateMachine {
+ public:
+  explicit CheckingMachine(History& history) : history_(history) {}
+
+  std::string Apply(std::uint64_t index, const std::string& command) override {
+    if (count_ == history_.applied.size())
+      history_.applied.emplace_back(index, command);
+    Require(history_.applied[count_] == std::pair(index, command),
+            "a committed entry changed or was lost: index " +
+                std::to_string(index) + " holds " + command + ", expected " +
+                std::to_string(history_.applied[count_].first) + " " +
+                history_.applied[count_].second);
+    ++count_;
+    return std::to_string(count_);
+  }
+  std::string TakeSnapshot() const override {
+    return std::string(100, '.') + std::to_string(count_);
+  }
+  void RestoreSnapshot(const std::string& snapshot) override {
+    count_ = std::stoul(snapshot.substr(100));
+    Require(count_ <= history_.applied.size(), "a snapshot from nowhere");
+  }
+  std::size_t count() const { return count_; }
+
+ private:
+  History& history_;
+  std::size_t count_ = 0;
+};
+
+class ClusterSim {
+ public:
+  struct Process {
+    std::string address;
+    std::unique_ptr<SkewedClock> clock;
+    MemoryFiles files;
+    std::unique_ptr<DiskStorage> storage;
+    std::unique_ptr<CheckingMachine> machine;
+    std::unique_ptr<Core> core;
+    milliseconds paused_until{0};
+    milliseconds restart_at{0};
+    // File operations until it crashes in the midst of one; negative for never.
+    int crash_after = -1;
+  };
+
+  ClusterSim(std::uint64_t seed, int processes, CoreOptions options)
+      : random_(seed), options_(std::move(options)) {
+    for (int i = 0; i < processes; ++i)
+      options_.peers.push_back("10.0.0." + std::to_string(i + 1) + ":1");
+    for (int i = 0; i < processes; ++i) {
+      auto process = std::make_unique<Process>();
+      process->address = options_.peers[static_cast<std::size_t>(i)];
+      process->clock = std::make_unique<SkewedClock>(
+          now_, 3600000 + 977 * i, 0.96 + 0.02 * static_cast<double>(Below(5)));
+      processes_.push_back(std::move(process));
+      Start(i);
+    }
+  }
+
+  int Below(int bound) {
+    return static_cast<int>(random_() % static_cast<std::uint64_t>(bound));
+  }
+  int size() const { return static_cast<int>(processes_.size()); }
+  Process& at(int i) { return *processes_[static_cast<std::size_t>(i)]; }
+  milliseconds now() const { return now_; }
+  const History& history() const { return history_; }
+
+  void Start(int i) {
+    Process& process = at(i);
+    process.files.before = [this, i](const std::string&, const std::string&) {
+      if (at(i).crash_after >= 0 && at(i).crash_after-- == 0)
+        throw Crash();
+    };
+    Guarded(i, [&] {
+      process.storage = std::make_unique<DiskStorage>(
+          process.files, "d", [&] { return std::to_string(random_()); });
+      process.machine = std::make_unique<CheckingMachine>(history_);
+      CoreOptions options = options_;
+      options.address = process.address;
+      process.core.reset(new Core(
+          options, {.clock = *process.clock,
+                    .storage = *process.storage,
+                    .machine = *process.machine,
+                    .send =
+                        [this, i](const std::string& to,
+                                  const wire::ConsensusMessage& message) {
+                          SendMessage(at(i).address, to, message);
+                        },
+                    .random =
+                        [this](std::uint32_t bound) {
+                          return static_cast<std::uint32_t>(random_() % bound);
+                        }}));
+    });
+  }
+
+  /// Ends a process; it starts again after \p downtime.
+  void CrashProcess(int i, milliseconds downtime) {
+    Process& process = at(i);
+    process.core.reset();
+    process.storage.reset();
+    process.crash_after = -1;
+    process.files.Crash(random_);
+    process.restart_at = now_ + downtime;
+  }
+
+  /// Deletes the data directory of a process.
+  void Wipe(int i, milliseconds downtime) {
+    CrashProcess(i, downtime);
+    at(i).files = MemoryFiles();
+  }
+
+  /// Returns whether every process is up and knows all others as voters under
+  /// their present identities, so that one more loss costs no majority.
+  bool IsComplete() {
+    std::set<std::string> present;
+    for (const auto& process : processes_) {
+      if (!process->core)
+        return false;
+      present.insert(process->storage->Identity());
+    }
+    for (const auto& process : processes_) {
+      std::set<std::string> voters;
+      const CoreStatus status = process->core->status();
+      for (const auto& member : status.config.members())
+        voters.insert(member.learner() ? "" : member.identity());
+      if (voters != present)
+        return false;
+    }
+    return true;
+  }
+
+  void Propose(int i) {
+    Process& process = at(i);
+    if (!process.core)
+      return;
+    const std::string command = "c" + std::to_string(++proposed_);
+    process.core->Propose(command, [this, command](const ProposeOutcome& out) {
+      if (out.status != ProposeStatus::kCommitted)
+        return;
+      const std::size_t position = std::stoul(out.result);
+      Require(history_.applied[position - 1] == std::pair(out.index, command),
+              "an acknowledged command is not in the history: " + command);
+      if (position > history_.acknowledged.back().second)
+        history_.acknowledged.emplace_back(now_, position);
+    });
+  }
+
+  void Step() {
+    now_ += milliseconds(5);
+    Deliver();
+    for (int i = 0; i < size(); ++i) {
+      Process& process = at(i);
+      if (!process.core && now_ >= process.restart_at)
+        Start(i);
+      if (process.core && now_ >= process.paused_until) {
+        Guarded(i, [&] {
+          process.core->Tick();
+          process.core->Flush();
+        });
+      }
+    }
+    Check();
+  }
+
+  template <typename Condition>
+  bool RunUntil(milliseconds limit, Condition condition) {
+    const milliseconds end = now_ + limit;
+    while (!condition()) {
+      if (now_ >= end)
+        return false;
+      Step();
+    }
+    return true;
+  }
+
+  /// Returns the current leader, or -1.
+  int Leader() {
+    for (int i = 0; i < size(); ++i) {
+      if (at(i).core && at(i).core->IsCurrentLeader())
+        return i;
+    }
+    return -1;
+  }
+
+  bool Converged() {
+    for (const auto& process : processes_) {
+      if (!process->core ||
+          process->machine->count() != history_.applied.size())
+        return false;
+    }
+    return Leader() >= 0 && IsComplete();
+  }
+
+  void Cut(int a, int b, bool cut) {
+    for (const auto& pair : {std::pair(a, b), std::pair(b, a)}) {
+      if (cut)
+        cuts_.insert({at(pair.first).address, at(pair.second).address});
+      else
+        cuts_.erase({at(pair.first).address, at(pair.second).address});
+    }
+  }
+  void Isolate(int i, bool cut) {
+    for (int other = 0; other < size(); ++other) {
+      if (other != i)
+        Cut(i, other, cut);
+    }
+  }
+  void HealAll() { cuts_.clear(); }
+
+  /// Percentage of messages lost, sent twice, or delayed by up to 2 s.
+  int disturbance = 0;
+
+ private:
+  template <typename Work>
+  void Guarded(int i, Work work) {
+    try {
+      work();
+    } catch (const Crash&) {
+      CrashProcess(i, milliseconds(Below(3000)));
+    } catch (const support::Error& error) {
+      throw Violation(at(i).address + " ended: " + error.what());
+    }
+  }
+
+  void SendMessage(const std::string& from,
+                   const std::string& to,
+                   const wire::ConsensusMessage& message) {
+    if (cuts_.count({from, to}) || Below(100) < disturbance)
+      return;
+    const int copies = Below(100) < disturbance ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy) {
+      const int delay =
+          Below(100) < disturbance ? Below(2000) : Below(disturbance + 1);
+      in_flight_.emplace(now_ + milliseconds(delay), std::pair(to, message));
+    }
+  }
+
+  void Deliver() {
+    while (!in_flight_.empty() && in_flight_.begin()->first <= now_) {
+      auto [to, message] = std::move(in_flight_.begin()->second);
+      in_flight_.erase(in_flight_.begin());
+      for (int i = 0; i < size(); ++i) {
+        Process& process = at(i);
+        if (process.address != to || !process.core)
+          continue;
+        if (now_ < process.paused_until) {
+          in_flight_.emplace(process.paused_until,
+                             std::pair(std::move(to), std::move(message)));
+          break;
+        }
+        Guarded(i, [&, &received = message] {
+          process.core->Receive(received);
+          if (Below(2) == 0)
+            process.core->Flush();
+        });
+      }
+    }
+  }
+
+  void Check() {
+    for (const auto& process : processes_) {
+      if (!process->core)
+        continue;
+      const CoreStatus status = process->core->status();
+      if (status.role == Role::kLeader) {
+        const auto& leader =
+            leaders_.try_emplace(status.term, status.identity).first->second;
+        Require(leader == status.identity,
+                "two leaders in term " + std::to_string(status.term));
+      }
+      const std::size_t count = process->machine->count();
+      if (process->core->IsCurrentLeader())
+        Require(count >= history_.acknowledged.back().second,
+                process->address + " is a stale leader");
+      const support::TimePoint as_of = process->core->CurrentAsOf();
+      Require(as_of <= process->clock->Now(), "freshness in the future");
+      auto latest = history_.acknowledged.rbegin();
+      while (process->clock->At(latest->first) >= as_of && latest->second > 0)
+        ++latest;
+      Require(count >= latest->second,
+              process->address + " claims to be fresher than it is");
+    }
+  }
+
+  std::mt19937_64 random_;
+  CoreOptions options_;
+  milliseconds now_{0};
+  History history_;
+  std::vector<std::unique_ptr<Process>> processes_;
+  std::multimap<milliseconds, std::pair<std::string, wire::ConsensusMessage>>
+      in_flight_;
+  std::set<std::pair<std::string, std::string>> cuts_;
+  std::map<std::uint64_t, std::string> leaders_;
+  std::uint64_t proposed_ = 0;
+};
+
+}  // namespace yuccastair::consensus
+
+#endif  // YUCCASTAIR_UNITTESTS_CONSENSUS_CLUSTER_SIM_H_
