Drop learners whose identity is of the past

Cause: a greeting that arrives late added an identity that no longer exists as a learner, which then stayed in the configuration for good (exploration seed 164). Change: an address whose voter still answers takes no learner, and a learner at such an address is removed.

--- a/lib/consensus/core_election.cc
+++ b/lib/consensus/core_election.cc
@@ -158,7 +158,7 @@
     if (Now() >= follower.last_sent + options_.heartbeat)
       SendHeartbeat(identity, follower);
   }
-  if (CanChangeConfig() && !PromoteLearner())
+  if (CanChangeConfig() && !DropStaleLearner() && !PromoteLearner())
     AdmitLearner();
 }
 
--- a/lib/consensus/core_impl.h
+++ b/lib/consensus/core_impl.h
@@ -137,7 +137,10 @@
   bool CanChangeConfig() const;
   void ProposeConfig(const wire::ConsensusConfig& config);
   void RefreshFollowers();
+  bool IsReachable(const std::string& identity) const;
   bool IsCaughtUp(const std::string& identity) const;
+  bool IsHeldByVoter(const std::string& address) const;
+  bool DropStaleLearner();
   bool PromoteLearner();
   bool AdmitLearner();
   void SendHellos();
--- a/lib/consensus/core_membership.cc
+++ b/lib/consensus/core_membership.cc
@@ -60,10 +60,35 @@
   }
 }
 
+bool Core::Impl::IsReachable(const std::string& identity) const {
+  const auto found = followers_.find(identity);
+  return identity == Self() ||
+         (found != followers_.end() &&
+          Now() < found->second.acknowledged_sent_at + options_.lease);
+}
+
 bool Core::Impl::IsCaughtUp(const std::string& identity) const {
   const auto found = followers_.find(identity);
   return found != followers_.end() && found->second.match >= commit_index_ &&
-         Now() < found->second.acknowledged_sent_at + options_.lease;
+         IsReachable(identity);
+}
+
+/// Returns whether a voter still answers at \p address, so that any other
+/// identity there is of the past: its greeting was delayed.
+bool Core::Impl::IsHeldByVoter(const std::string& address) const {
+  const auto& members = log_.config().members();
+  return std::any_of(members.begin(), members.end(), [&](const auto& member) {
+    return !member.learner() && member.address() == address &&
+           IsReachable(member.identity());
+  });
+}
+
+bool Core::Impl::DropStaleLearner() {
+  for (const wire::ConsensusMember& member : log_.config().members()) {
+    if (member.learner() && IsHeldByVoter(member.address()))
+      return RemoveMember(member.identity());
+  }
+  return false;
 }
 
 /// Makes a learner that has caught up a voter. The member that was lost at its
@@ -101,7 +126,7 @@
 bool Core::Impl::AdmitLearner() {
   for (const auto& [address, greeting] : greetings_) {
     if (Now() >= greeting.at + kGreetingLifetime ||
-        FindMember(greeting.identity))
+        FindMember(greeting.identity) || IsHeldByVoter(address))
       continue;
     wire::ConsensusConfig config = log_.config();
     auto* members = config.mutable_members();
