Run the replicated log in the control process

An error of the storage ends the process with exit code 1. Fault found: a greeting from before the removal of a member brought it back.

--- a/lib/consensus/core_membership.cc
+++ b/lib/consensus/core_membership.cc
@@ -86,7 +86,7 @@
 bool Core::Impl::DropStaleLearner() {
   for (const wire::ConsensusMember& member : log_.config().members()) {
     if (member.learner() && IsHeldByVoter(member.address()))
-      return RemoveMember(member.identity());
+      return RemoveMember(std::string(member.identity()));
   }
   return false;
 }
@@ -158,6 +158,11 @@
                                   return member.identity() == identity;
                                 }),
                  members->end());
+  // A greeting from before must not bring the member back.
+  for (auto& [address, greeting] : greetings_) {
+    if (greeting.identity == identity)
+      greeting.at = {};
+  }
   ProposeConfig(config);
   return true;
 }
--- a/lib/control/control.cc
+++ b/lib/control/control.cc
@@ -6,6 +6,7 @@
 #include <utility>
 #include <variant>
 
+#include "log_runner.h"
 #include "yuccastair/membership/registry.h"
 #include "yuccastair/support/bounded_ring.h"
 #include "yuccastair/support/log.h"
@@ -15,7 +16,9 @@
 namespace {
 
 constexpr std::size_t kEventRingCapacity = 16384;
-constexpr std::chrono::milliseconds kCoreTick{20};
+constexpr std::chrono::milliseconds kCoreTick{10};
+// Bounds the messages that share one sync of the log.
+constexpr int kMaxBatch = 256;
 
 struct PeerRequest {
   wire::ReplyRoute route;
@@ -29,9 +32,14 @@
   explicit Impl(Settings settings)
       : settings_(std::move(settings)),
         registry_(clock_, settings_.member_expiry),
+        log_(settings_,
+             clock_,
+             [this](const std::string& address, wire::Envelope envelope) {
+               transport_.Send(address, std::move(envelope));
+             }),
         events_(kEventRingCapacity),
         transport_(TransportOptions(), TransportHandlers()) {
-    core_ = std::thread([this] { Run(); });
+    core_ = std::thread([this] { RunOrExit([this] { Run(); }); });
     support::LogInfo("control.started",
                      {{"peer_listen", settings_.peer_listen.ToString()}});
   }
@@ -61,15 +69,27 @@
 
   // The core thread owns all state.
   void Run() {
+    log_.Start();
     while (!events_.closed()) {
-      if (auto event = events_.Pop(kCoreTick))
+      auto event = events_.Pop(kCoreTick);
+      for (int i = 0; event && i < kMaxBatch; ++i) {
         Handle(*event);
+        event = events_.TryPop();
+      }
+      if (event)
+        Handle(*event);
+      log_.Flush();
       registry_.RemoveExpired();
     }
   }
 
   void Handle(const PeerRequest& request) {
-    if (!request.envelope.has_sync_request())
+    const auto answer_log = [this,
+                             route = request.route](wire::Envelope envelope) {
+      transport_.Reply(route, std::move(envelope));
+    };
+    if (log_.Handle(request.envelope, answer_log) ||
+        !request.envelope.has_sync_request())
       return;
     const wire::SyncRequest& sync = request.envelope.sync_request();
     registry_.Report(sync.self());
@@ -78,6 +98,7 @@
     wire::SyncReply* reply = answer.mutable_sync_reply();
     for (const wire::FollowedService& followed : sync.followed())
       registry_.FillReply(followed.service(), followed.revision(), *reply);
+    log_.FillReply(*reply);
     transport_.Reply(request.route, std::move(answer));
   }
 
@@ -85,6 +106,7 @@
   const support::SteadyClock clock_;
   // Owned by the core thread.
   membership::Registry registry_;
+  LogRunner log_;
   support::BoundedRing<PeerRequest> events_;
   wire::Transport transport_;
   std::thread core_;
--- /dev/null
+++ b/unittests/consensus/core_test.cc
@@ -0,0 +1,179 @@
+// Single behaviours of the log core in a cluster without random faults.
+
+#include "yuccastair/consensus/core.h"
+
+#include <catch2/catch.hpp>
+
+#include "cluster_sim.h"
+
+namespace yuccastair::consensus {
+namespace {
+
+constexpr milliseconds kLimit{20000};
+
+/// Lets a cluster elect its first leader and returns it.
+int Elect(ClusterSim& sim) {
+  REQUIRE(sim.RunUntil(kLimit, [&] { return sim.Converged(); }));
+  return sim.Leader();
+}
+
+void CommitOne(ClusterSim& sim, int leader) {
+  const std::size_t before = sim.history().acknowledged.back().second;
+  sim.Propose(leader);
+  REQUIRE(sim.RunUntil(kLimit, [&] {
+    return sim.history().acknowledged.back().second > before;
+  }));
+}
+
+// Guards against stale answers of a leader that is cut off.
+TEST_CASE("an isolated leader loses its lease before another is elected") {
+  ClusterSim sim(1, 3, {});
+  const int leader = Elect(sim);
+  sim.Isolate(leader, true);
+  REQUIRE(sim.RunUntil(
+      kLimit, [&] { return !sim.at(leader).core->IsCurrentLeader(); }));
+  CHECK(sim.Leader() == -1);
+  REQUIRE(sim.RunUntil(kLimit, [&] { return sim.Leader() >= 0; }));
+  CHECK(sim.Leader() != leader);
+  CHECK(sim.at(leader).core->status().role != Role::kLeader);
+  CommitOne(sim, sim.Leader());
+}
+
+// Guards against a process that disturbs a working leader after a partition.
+TEST_CASE("pre-vote keeps the term while a process is cut off") {
+  ClusterSim sim(2, 3, {});
+  const int leader = Elect(sim);
+  const std::uint64_t term = sim.at(leader).core->status().term;
+  const int cut_off = (leader + 1) % 3;
+  sim.Isolate(cut_off, true);
+  const milliseconds end = sim.now() + milliseconds(10000);
+  sim.RunUntil(kLimit, [&] { return sim.now() >= end; });
+  CHECK(sim.at(cut_off).core->status().term == term);
+  sim.HealAll();
+  REQUIRE(sim.RunUntil(kLimit, [&] { return sim.Converged(); }));
+  CHECK(sim.Leader() == leader);
+  CHECK(sim.at(leader).core->status().term == term);
+}
+
+// Guards against followers that never report a fresh view, or report one
+// while they are cut off.
+TEST_CASE("a follower is current while connected, and ages when cut off") {
+  ClusterSim sim(3, 3, {});
+  const int follower = (Elect(sim) + 1) % 3;
+  const auto age = [&] {
+    return sim.at(follower).clock->Now() - sim.at(follower).core->CurrentAsOf();
+  };
+  REQUIRE(sim.RunUntil(kLimit, [&] { return age() < milliseconds(300); }));
+  sim.Isolate(follower, true);
+  const auto as_of = sim.at(follower).core->CurrentAsOf();
+  REQUIRE(sim.RunUntil(kLimit, [&] { return age() > milliseconds(3000); }));
+  CHECK(sim.at(follower).core->CurrentAsOf() - as_of < milliseconds(300));
+}
+
+// Guards against proposals that vanish at a process that cannot append them.
+TEST_CASE("a follower returns proposals and names the leader") {
+  ClusterSim sim(4, 3, {});
+  const int leader = Elect(sim);
+  Core& follower = *sim.at((leader + 1) % 3).core;
+  ProposeStatus status = ProposeStatus::kCommitted;
+  follower.Propose("x", [&](const ProposeOutcome& o) { status = o.status; });
+  CHECK(status == ProposeStatus::kNotLeader);
+  CHECK(follower.LeaderAddress() == sim.at(leader).address);
+}
+
+// Guards against callers that wait forever when leadership is lost.
+TEST_CASE("appended proposals end as uncertain when leadership is lost") {
+  ClusterSim sim(5, 3, {});
+  const int leader = Elect(sim);
+  sim.Isolate(leader, true);
+  ProposeStatus status = ProposeStatus::kCommitted;
+  int calls = 0;
+  sim.at(leader).core->Propose("x", [&](const ProposeOutcome& outcome) {
+    status = outcome.status;
+    ++calls;
+  });
+  REQUIRE(sim.RunUntil(kLimit, [&] { return calls > 0; }));
+  CHECK(status == ProposeStatus::kUncertain);
+  CHECK(calls == 1);
+}
+
+// Guards against one sync for each proposal, which would bound the throughput
+// by the latency of the disk.
+TEST_CASE("proposals between two flushes share one sync") {
+  ClusterSim sim(6, 3, {});
+  const int leader = Elect(sim);
+  ClusterSim::Process& process = sim.at(leader);
+  int syncs = 0;
+  process.files.before = [&](const std::string& operation, const std::string&) {
+    syncs += operation == "sync" ? 1 : 0;
+  };
+  for (int i = 0; i < 100; ++i)
+    sim.Propose(leader);
+  process.core->Flush();
+  CHECK(syncs == 1);
+  REQUIRE(sim.RunUntil(
+      kLimit, [&] { return sim.history().acknowledged.back().second == 100; }));
+}
+
+// Guards against a new process that votes with the identity of a lost disk.
+TEST_CASE("a process without its data is replaced by a new member") {
+  ClusterSim sim(7, 3, {});
+  const int leader = Elect(sim);
+  CommitOne(sim, leader);
+  const int lost = (leader + 1) % 3;
+  const std::string old_identity = sim.at(lost).storage->Identity();
+  sim.Wipe(lost, milliseconds(100));
+  REQUIRE(sim.RunUntil(kLimit, [&] { return sim.Converged(); }));
+  CHECK(sim.at(lost).storage->Identity() != old_identity);
+  CHECK(sim.at(lost).machine->count() == 1);
+}
+
+// Guards against followers that stay behind once the log is compacted, and
+// against a transfer in one message of unbounded size.
+TEST_CASE("a follower far behind receives a snapshot in chunks") {
+  CoreOptions options;
+  options.snapshot_entries = 20;
+  options.retained_entries = 3;
+  options.snapshot_chunk_bytes = 16;
+  ClusterSim sim(8, 3, options);
+  const int leader = Elect(sim);
+  const int behind = (leader + 1) % 3;
+  sim.Isolate(behind, true);
+  for (int i = 0; i < 50; ++i)
+    CommitOne(sim, leader);
+  sim.HealAll();
+  REQUIRE(sim.RunUntil(kLimit, [&] { return sim.Converged(); }));
+  CHECK(sim.at(behind).core->status().snapshot_index > 0);
+}
+
+// Guards against an election by a process that was taken out.
+TEST_CASE("a removed member no longer counts and cannot lead") {
+  ClusterSim sim(9, 5, {});
+  const int leader = Elect(sim);
+  const int removed = (leader + 1) % 5;
+  const std::string identity = sim.at(removed).storage->Identity();
+  REQUIRE(sim.at(leader).core->RemoveMember(identity));
+  // A second change has to wait for the first one.
+  CHECK_FALSE(sim.at(leader).core->RemoveMember(identity));
+  REQUIRE(sim.RunUntil(kLimit, [&] {
+    const CoreStatus status = sim.at(leader).core->status();
+    return status.config.members_size() == 4 &&
+           status.commit_index == status.last_index;
+  }));
+}
+
+// Guards against lost state when everything fails at once.
+TEST_CASE("all processes crash and come back with what was committed") {
+  ClusterSim sim(10, 3, {});
+  const int leader = Elect(sim);
+  for (int i = 0; i < 5; ++i)
+    CommitOne(sim, leader);
+  for (int i = 0; i < 3; ++i)
+    sim.CrashProcess(i, milliseconds(10));
+  REQUIRE(sim.RunUntil(kLimit, [&] {
+    return sim.Converged() && sim.at(0).machine->count() == 5;
+  }));
+}
+
+}  // namespace
+}  // namespace yuccastair::consensus
