--- a/lib/consensus/core_election.cc
+++ b/lib/consensus/core_election.cc
@@ -135,11 +135,11 @@
       contacts.push_back(Now());
     else
       contacts.push_back(found == followers_.end()
-                             ? TimePoint()
+                             ? kNever
                              : found->second.acknowledged_sent_at);
   }
   if (contacts.empty())
-    return {};
+    return kNever;
   std::sort(contacts.begin(), contacts.end(), std::greater<>());
   return contacts[Majority() - 1];
 }
--- a/lib/consensus/core_impl.h
+++ b/lib/consensus/core_impl.h
@@ -17,6 +17,10 @@
 
 namespace yuccastair::consensus {
 
+/// Before any other time. The epoch of the monotonic clock would not do: it may
+/// be the start of the machine.
+constexpr support::TimePoint kNever = support::TimePoint::min();
+
 class Core::Impl {
  public:
   Impl(CoreOptions options, Environment environment);
@@ -43,10 +47,10 @@
     std::uint64_t sequence = 0;
     // Sequence of the message with entries that awaits its answer; 0 for none.
     std::uint64_t in_flight = 0;
-    TimePoint in_flight_since;
-    TimePoint last_sent;
+    TimePoint in_flight_since = kNever;
+    TimePoint last_sent = kNever;
     // When the latest message that was answered had been sent.
-    TimePoint acknowledged_sent_at;
+    TimePoint acknowledged_sent_at = kNever;
     // Latest freshness query, until a confirmation is sent.
     std::optional<wire::FreshnessQuery> query;
     // Set while a snapshot is transferred.
@@ -59,9 +63,9 @@
   };
   struct Greeting {
     std::string identity;
-    TimePoint at;
+    TimePoint at = kNever;
     // When it last told this very process that it has no configuration.
-    TimePoint empty_at;
+    TimePoint empty_at = kNever;
   };
   // A confirmation that holds once `commit` has been applied here.
   struct Confirmation {
@@ -188,7 +192,7 @@
 
   // Last greeting from each configured address.
   std::map<std::string, Greeting> greetings_;
-  TimePoint last_hello_;
+  TimePoint last_hello_ = kNever;
 
   struct Outgoing {
     std::string address;
--- a/lib/consensus/core_membership.cc
+++ b/lib/consensus/core_membership.cc
@@ -161,7 +161,7 @@
   // A greeting from before must not bring the member back.
   for (auto& [address, greeting] : greetings_) {
     if (greeting.identity == identity)
-      greeting.at = {};
+      greeting.at = kNever;
   }
   ProposeConfig(config);
   return true;
@@ -188,12 +188,12 @@
     return;
   Greeting& greeting = greetings_[address];
   if (greeting.identity != message.from())
-    greeting = {.identity = message.from(), .at = {}, .empty_at = {}};
+    greeting = {.identity = message.from()};
   greeting.at = Now();
   // Only an answer to this identity was certainly sent after this process had
   // started, that is after any earlier process at this address had ended.
   if (message.hello().has_state())
-    greeting.empty_at = {};
+    greeting.empty_at = kNever;
   else if (message.to() == Self())
     greeting.empty_at = Now();
   if (message.hello().answer())
--- a/unittests/consensus/cluster_sim.h
+++ b/unittests/consensus/cluster_sim.h
@@ -38,8 +38,8 @@
 /// The clock of one process, with its own offset and rate.
 class SkewedClock final : public support::Clock {
  public:
-  SkewedClock(const milliseconds& now, std::int64_t offset_ms, double rate)
-      : now_(now), offset_(offset_ms), rate_(rate) {}
+  SkewedClock(const milliseconds& now, milliseconds offset, double rate)
+      : now_(now), offset_(offset), rate_(rate) {}
   support::TimePoint Now() const override { return At(now_); }
   support::TimePoint At(milliseconds time) const {
     const double ns = static_cast<double>(nanoseconds(time).count()) * rate_;
@@ -113,7 +113,8 @@
       auto process = std::make_unique<Process>();
       process->address = options_.peers[static_cast<std::size_t>(i)];
       process->clock = std::make_unique<SkewedClock>(
-          now_, 3600000 + 977 * i, 0.96 + 0.02 * static_cast<double>(Below(5)));
+          now_, milliseconds(3600000 + 977 * i),
+          0.96 + 0.02 * static_cast<double>(Below(5)));
       processes_.push_back(std::move(process));
       Start(i);
     }
@@ -320,6 +321,7 @@
   }
 
   void Check() {
+    int current_leaders = 0;
     for (const auto& process : processes_) {
       if (!process->core)
         continue;
@@ -331,7 +333,10 @@
                 "two leaders in term " + std::to_string(status.term));
       }
       const std::size_t count = process->machine->count();
-      if (process->core->IsCurrentLeader())
+      const bool current = process->core->IsCurrentLeader();
+      current_leaders += current ? 1 : 0;
+      Require(current_leaders <= 1, "two leaders hold their lease at once");
+      if (current)
         Require(count >= history_.acknowledged.back().second,
                 process->address + " is a stale leader");
       const support::TimePoint as_of = process->core->CurrentAsOf();
--- a/unittests/consensus/core_test.cc
+++ b/unittests/consensus/core_test.cc
@@ -55,6 +55,19 @@
   CHECK(sim.at(leader).core->status().term == term);
 }
 
+// Guards against an election while the others still hear the leader, which
+// would break its lease.
+TEST_CASE("a process that only misses the leader wins no election") {
+  ClusterSim sim(11, 3, {});
+  const int leader = Elect(sim);
+  const std::uint64_t term = sim.at(leader).core->status().term;
+  sim.Cut(leader, (leader + 1) % 3, true);
+  const milliseconds end = sim.now() + milliseconds(10000);
+  sim.RunUntil(kLimit, [&] { return sim.now() >= end; });
+  CHECK(sim.Leader() == leader);
+  CHECK(sim.at(leader).core->status().term == term);
+}
+
 // Guards against followers that never report a fresh view, or report one
 // while they are cut off.
 TEST_CASE("a follower is current while connected, and ages when cut off") {
