--- a/include/yuccastair/consensus/disk_storage.h
+++ b/include/yuccastair/consensus/disk_storage.h
@@ -27,10 +27,10 @@
   /// Opens the directory, and gives it an identity if it is empty. Throws Error
   /// if it is locked, damaged, or a copy of another data directory. Identities
   /// come from \p make_identity, so that tests are reproducible.
-  DiskStorage(Files& files,
-              std::string directory,
-              const std::function<std::string()>& make_identity =
-                  support::RandomId);
+  DiskStorage(
+      Files& files,
+      std::string directory,
+      const std::function<std::string()>& make_identity = support::RandomId);
 
   const std::string& Identity() const override { return identity_; }
   StoredState TakeState() override;
--- a/unittests/processes/control_cluster.h
+++ b/unittests/processes/control_cluster.h
@@ -5,6 +5,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -112,10 +113,16 @@
     return (dir_.path() / ("data-" + std::to_string(i))).string();
   }
 
-  void Start(int i) {
+  /// Starts a process; a \p file_limit in bytes makes larger writes fail.
+  void Start(int i, rlim_t file_limit = RLIM_INFINITY) {
     const std::string log = DataDir(i) + ".stderr";
     const pid_t child = fork();
     if (child == 0) {
+      if (file_limit != RLIM_INFINITY) {
+        const rlimit limit{file_limit, file_limit};
+        signal(SIGXFSZ, SIG_IGN);
+        setrlimit(RLIMIT_FSIZE, &limit);
+      }
       const int out =
           open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
       dup2(out, STDERR_FILENO);
--- a/unittests/processes/control_log_test.cc
+++ b/unittests/processes/control_log_test.cc
@@ -140,5 +140,23 @@
   CHECK_THAT(cluster.ErrorText(0), Catch::Contains("damaged record at byte"));
 }
 
+TEST_CASE("a failed write ends the process, and the others continue") {
+  ControlCluster cluster(3, 25060);
+  REQUIRE(cluster.Commit("first"));
+  const int leader = cluster.WaitForLeader();
+  REQUIRE(leader >= 0);
+  cluster.Kill(leader);
+  constexpr rlim_t kFileLimit = 64 << 10;
+  cluster.Start(leader, kFileLimit);
+  // More than fits, but no entry is refused by the other two.
+  for (int i = 0; i < 5; ++i)
+    REQUIRE(cluster.Commit(std::string(kFileLimit / 4, 'x')));
+  CHECK(cluster.WaitForExit(leader) == 1);
+  CHECK_THAT(cluster.ErrorText(leader), Catch::Contains("File too large"));
+  REQUIRE(cluster.Commit("last"));
+  cluster.Start(leader);
+  CHECK(cluster.WaitForAgreement(7));
+}
+
 }  // namespace
 }  // namespace yuccastair
