--- a/lib/consensus/core_membership.cc
+++ b/lib/consensus/core_membership.cc
@@ -124,7 +124,9 @@
 }
 
 bool Core::Impl::AdmitLearner() {
-  for (const auto& [address, greeting] : greetings_) {
+  for (const auto& entry : greetings_) {
+    const std::string& address = entry.first;
+    const Greeting& greeting = entry.second;
     if (Now() >= greeting.at + kGreetingLifetime ||
         FindMember(greeting.identity) || IsHeldByVoter(address))
       continue;
--- /dev/null
+++ b/unittests/consensus/single_process.h
@@ -0,0 +1,85 @@
+// One process of the log whose peers are played by the test.
+
+#ifndef YUCCASTAIR_UNITTESTS_CONSENSUS_SINGLE_PROCESS_H_
+#define YUCCASTAIR_UNITTESTS_CONSENSUS_SINGLE_PROCESS_H_
+
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "memory_files.h"
+#include "yuccastair/consensus/core.h"
+#include "yuccastair/consensus/disk_storage.h"
+
+namespace yuccastair::consensus {
+
+class NoState final : public StateMachine {
+ public:
+  std::string Apply(std::uint64_t, const std::string&) override { return ""; }
+  std::string TakeSnapshot() const override { return ""; }
+  void RestoreSnapshot(const std::string&) override {}
+};
+
+/// A process at the address "self" with the peers "a" and "b", whose identities
+/// equal their addresses.
+class SingleProcess {
+ public:
+  SingleProcess() { Start(); }
+
+  void CrashAndRestart() {
+    core_.reset();
+    storage_.reset();
+    std::mt19937_64 random(1);
+    files_.Crash(random);
+    Start();
+  }
+
+  wire::ConsensusMessage From(const std::string& peer, std::uint64_t term) {
+    wire::ConsensusMessage message;
+    message.set_from(peer);
+    message.set_from_address(peer);
+    message.set_to(storage_->Identity());
+    message.set_term(term);
+    return message;
+  }
+
+  void Advance(std::chrono::milliseconds by) { clock_.Advance(by); }
+  Core& core() { return *core_; }
+  const std::string& identity() const { return storage_->Identity(); }
+
+  /// Messages sent since the last call.
+  std::vector<wire::ConsensusMessage> TakeSent() {
+    return std::exchange(sent_, {});
+  }
+
+ private:
+  void Start() {
+    storage_.emplace(files_, "d");
+    CoreOptions options;
+    options.address = "self";
+    options.peers = {"self", "a", "b"};
+    core_.emplace(
+        options,
+        Core::Environment{.clock = clock_,
+                          .storage = *storage_,
+                          .machine = machine_,
+                          .send =
+                              [this](const std::string&,
+                                     const wire::ConsensusMessage& message) {
+                                sent_.push_back(message);
+                              },
+                          .random = [](std::uint32_t) { return 0U; }});
+  }
+
+  support::ManualClock clock_;
+  MemoryFiles files_;
+  NoState machine_;
+  std::optional<DiskStorage> storage_;
+  std::optional<Core> core_;
+  std::vector<wire::ConsensusMessage> sent_;
+};
+
+}  // namespace yuccastair::consensus
+
+#endif  // YUCCASTAIR_UNITTESTS_CONSENSUS_SINGLE_PROCESS_H_
--- a/unittests/consensus/vote_test.cc
+++ b/unittests/consensus/vote_test.cc
@@ -1,101 +1,94 @@
-// Votes of one process across crashes. Guards against two votes in one term,
-// which would allow two leaders.
+// Votes and commits of one process whose peers are played by the test. Guards
+// against two votes in one term and against commits that may be undone.
 
 #include <catch2/catch.hpp>
-#include <optional>
 
-#include "memory_files.h"
-#include "yuccastair/consensus/core.h"
-#include "yuccastair/consensus/disk_storage.h"
+#include "single_process.h"
 
 namespace yuccastair::consensus {
 namespace {
 
-class NoState final : public StateMachine {
- public:
-  std::string Apply(std::uint64_t, const std::string&) override { return ""; }
-  std::string TakeSnapshot() const override { return ""; }
-  void RestoreSnapshot(const std::string&) override {}
-};
-
-/// A process that can be asked for votes and crashed.
-class Voter {
- public:
-  Voter() { Start(); }
-
-  void CrashAndRestart() {
-    core_.reset();
-    storage_.reset();
-    std::mt19937_64 random(1);
-    files_.Crash(random);
-    Start();
-  }
-
-  /// Returns whether the vote was granted.
-  bool Ask(const std::string& candidate, std::uint64_t term) {
-    wire::ConsensusMessage message;
-    message.set_from(candidate);
-    message.set_from_address(candidate);
-    message.set_to(storage_->Identity());
-    message.mutable_vote_request()->set_candidate_term(term);
-    answer_.reset();
-    core_->Receive(message);
-    CHECK_FALSE(answer_);
-    core_->Flush();
-    REQUIRE(answer_);
-    return answer_->vote_reply().granted();
-  }
-
-  void Advance(std::chrono::milliseconds by) { clock_.Advance(by); }
-
- private:
-  void Start() {
-    storage_.emplace(files_, "d");
-    CoreOptions options;
-    options.address = "voter";
-    options.peers = {"voter", "a", "b"};
-    core_.emplace(
-        options,
-        Core::Environment{.clock = clock_,
-                          .storage = *storage_,
-                          .machine = machine_,
-                          .send =
-                              [this](const std::string&,
-                                     const wire::ConsensusMessage& message) {
-                                answer_ = message;
-                              },
-                          .random = [](std::uint32_t) { return 0U; }});
-  }
-
-  support::ManualClock clock_;
-  MemoryFiles files_;
-  NoState machine_;
-  std::optional<DiskStorage> storage_;
-  std::optional<Core> core_;
-  std::optional<wire::ConsensusMessage> answer_;
-};
+/// Asks for a vote and returns whether it was granted.
+bool Ask(SingleProcess& voter, const std::string& from, std::uint64_t term) {
+  wire::ConsensusMessage message = voter.From(from, 0);
+  message.mutable_vote_request()->set_candidate_term(term);
+  voter.TakeSent();
+  voter.core().Receive(message);
+  CHECK(voter.TakeSent().empty());
+  voter.core().Flush();
+  const auto sent = voter.TakeSent();
+  REQUIRE(sent.size() == 1);
+  return sent[0].vote_reply().granted();
+}
 
 constexpr std::chrono::milliseconds kAfterContact{700};
 
 TEST_CASE("a vote is kept across a crash, and is answered only once durable") {
-  Voter voter;
+  SingleProcess voter;
   voter.Advance(kAfterContact);
-  REQUIRE(voter.Ask("a", 5));
+  REQUIRE(Ask(voter, "a", 5));
   voter.CrashAndRestart();
   voter.Advance(kAfterContact);
-  CHECK_FALSE(voter.Ask("b", 5));
-  CHECK(voter.Ask("a", 5));
-  CHECK_FALSE(voter.Ask("b", 4));
-  CHECK(voter.Ask("b", 6));
+  CHECK_FALSE(Ask(voter, "b", 5));
+  CHECK(Ask(voter, "a", 5));
+  CHECK_FALSE(Ask(voter, "b", 4));
+  CHECK(Ask(voter, "b", 6));
 }
 
 TEST_CASE("no vote is granted until a leader heard before a restart is past") {
-  Voter voter;
-  CHECK_FALSE(voter.Ask("a", 5));
+  SingleProcess voter;
+  CHECK_FALSE(Ask(voter, "a", 5));
   voter.Advance(kAfterContact);
-  CHECK(voter.Ask("a", 5));
+  CHECK(Ask(voter, "a", 5));
   voter.CrashAndRestart();
-  CHECK_FALSE(voter.Ask("a", 6));
+  CHECK_FALSE(Ask(voter, "a", 6));
+}
+
+TEST_CASE("entries of an earlier term are committed only with one of its own") {
+  SingleProcess process;
+  wire::ConsensusMessage append = process.From("a", 2);
+  wire::LogEntry* entry = append.mutable_append()->add_entries();
+  entry->set_index(1);
+  entry->set_term(1);
+  entry->set_kind(wire::ENTRY_KIND_CONFIG);
+  wire::ConsensusConfig config;
+  for (const std::string& member :
+       {process.identity(), std::string("a"), std::string("b")}) {
+    config.add_members()->set_identity(member);
+  }
+  entry->set_payload(config.SerializeAsString());
+  entry = append.mutable_append()->add_entries();
+  entry->set_index(2);
+  entry->set_term(2);
+  process.core().Receive(append);
+  process.core().Flush();
+
+  process.Advance(kAfterContact);
+  process.core().Tick();
+  wire::ConsensusMessage vote = process.From("b", 2);
+  vote.mutable_vote_reply()->set_candidate_term(3);
+  vote.mutable_vote_reply()->set_granted(true);
+  vote.mutable_vote_reply()->set_pre_vote(true);
+  process.core().Receive(vote);
+  vote.set_term(3);
+  vote.mutable_vote_reply()->set_pre_vote(false);
+  process.core().Receive(vote);
+  process.core().Flush();
+  REQUIRE(process.core().status().role == Role::kLeader);
+  REQUIRE(process.core().status().last_index == 3);
+
+  // A majority holds entry 2, but a leader elected without this process could
+  // still replace it.
+  wire::ConsensusMessage reply = process.From("b", 3);
+  reply.mutable_append_reply()->set_success(true);
+  reply.mutable_append_reply()->set_index(2);
+  process.core().Receive(reply);
+  process.core().Flush();
+  CHECK(process.core().status().commit_index == 0);
+  reply.mutable_append_reply()->set_index(3);
+  process.core().Receive(reply);
+  process.core().Flush();
+  CHECK(process.core().status().commit_index == 3);
 }
 
 }  // namespace
--- a/unittests/processes/control_cluster.h
+++ b/unittests/processes/control_cluster.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <utility>
@@ -86,13 +87,13 @@
       peers += (i ? ", \"" : "\"") + Address(i) + "\"";
     for (int i = 0; i < size; ++i) {
       const std::string id = "control-" + std::to_string(i);
-      configs_.push_back(dir_.Write(
-          id + ".toml",
-          "[control]\nid = \"" + id + "\"\navailability_zone = \"zone-" +
-              std::to_string(i) + "\"\npeer_listen = \"" + Address(i) +
-              "\"\noperator_listen = \"127.0.0.1:" +
-              std::to_string(first_port_ + 100 + i) + "\"\ndata_dir = \"" +
-              DataDir(i) + "\"\npeers = [" + peers + "]\n"));
+      std::ostringstream config;
+      config << "[control]\nid = \"" << id << "\"\navailability_zone = \"zone-"
+             << i << "\"\npeer_listen = \"" << Address(i)
+             << "\"\noperator_listen = \"127.0.0.1:" << first_port_ + 100 + i
+             << "\"\ndata_dir = \"" << DataDir(i) << "\"\npeers = [" << peers
+             << "]\n";
+      configs_.push_back(dir_.Write(id + ".toml", config.str()));
       processes_.push_back(0);
       if (started < 0 || i < started)
         Start(i);
