Merge the replicated log

Cause: the settings of a control process did not outlive it.

The log runner itself is the ReplicatedLog of the operator API, and has no leader until it is started.

Conclusion: settings changes go through the replicated log.

--- a/lib/control/control.cc
+++ b/lib/control/control.cc
@@ -9,13 +9,12 @@
 #include <utility>
 #include <variant>
 
+#include "log_runner.h"
 #include "operator_api.h"
 #include "settings_sync.h"
-#include "yuccastair/control/single_process_log.h"
 #include "yuccastair/http/server.h"
 #include "yuccastair/membership/registry.h"
 #include "yuccastair/state/settings_machine.h"
-#include "yuccastair/state/table_dispatcher.h"
 #include "yuccastair/support/bounded_ring.h"
 #include "yuccastair/support/log.h"
 #include "yuccastair/wire/transport.h"
@@ -24,7 +23,9 @@
 namespace {
 
 constexpr std::size_t kEventRingCapacity = 16384;
-constexpr std::chrono::milliseconds kCoreTick{20};
+constexpr std::chrono::milliseconds kCoreTick{10};
+// Bounds the messages that share one sync of the log.
+constexpr int kMaxBatch = 256;
 constexpr std::size_t kOperatorRequests = 16;
 constexpr std::size_t kMaxChangeBytes = std::size_t{4} << 20;
 
@@ -49,7 +50,11 @@
   explicit Impl(Settings settings)
       : settings_(std::move(settings)),
         registry_(clock_, settings_.member_expiry),
-        log_(tables_, clock_, settings_.peer_listen.ToString()),
+        log_(settings_,
+             clock_,
+             [this](const std::string& address, wire::Envelope envelope) {
+               transport_.Send(address, std::move(envelope));
+             }),
         settings_sync_(settings_table_, log_, clock_),
         events_(kEventRingCapacity),
         operator_api_(OperatorOptions(),
@@ -58,8 +63,8 @@
                         return events_.TryPush(std::move(task));
                       }),
         transport_(TransportOptions(), TransportHandlers()) {
-    tables_.Add(wire::TABLE_SETTINGS, settings_table_);
-    core_ = std::thread([this] { Run(); });
+    log_.Register(wire::TABLE_SETTINGS, settings_table_);
+    core_ = std::thread([this] { RunOrExit([this] { Run(); }); });
     operator_server_.emplace(OperatorServerOptions());
     support::LogInfo("control.started",
                      {{"peer_listen", settings_.peer_listen.ToString()}});
@@ -121,9 +126,14 @@
 
   // The core thread owns all state.
   void Run() {
+    log_.Start();
     while (!events_.closed()) {
-      if (auto event = events_.Pop(kCoreTick))
+      auto event = events_.Pop(kCoreTick);
+      for (int i = 0; event; ++i) {
         std::visit([this](auto& held) { Handle(held); }, *event);
+        event = i < kMaxBatch ? events_.TryPop() : std::nullopt;
+      }
+      log_.Flush();
       registry_.RemoveExpired();
     }
   }
@@ -131,7 +141,12 @@
   static void Handle(const std::function<void()>& task) { task(); }
 
   void Handle(const PeerRequest& request) {
-    if (!request.envelope.has_sync_request())
+    const auto answer_log = [this,
+                             route = request.route](wire::Envelope envelope) {
+      transport_.Reply(route, std::move(envelope));
+    };
+    if (log_.Handle(request.envelope, answer_log) ||
+        !request.envelope.has_sync_request())
       return;
     const wire::SyncRequest& sync = request.envelope.sync_request();
     registry_.Report(sync.self());
@@ -149,8 +164,7 @@
   // Owned by the core thread.
   membership::Registry registry_;
   state::SettingsMachine settings_table_;
-  state::TableDispatcher tables_;
-  SingleProcessLog log_;
+  LogRunner log_;
   SettingsSync settings_sync_;
   support::BoundedRing<CoreEvent> events_;
   OperatorApi operator_api_;
