--- a/lib/state/json.cc
+++ b/lib/state/json.cc
@@ -4,6 +4,11 @@
 
 #include <sodium.h>
 
+#include <array>
+#include <cmath>
+#include <cstdio>
+#include <cstdlib>
+#include <optional>
 #include <set>
 
 #include "yuccastair/state/schema.h"
@@ -14,6 +19,9 @@
 
 using Json = nlohmann::json;
 
+// Far below the sixth decimal place, far above the error of a double.
+constexpr double kShareTolerance = 1e-9;
+
 Json ValueToJson(const SettingKey& key, std::int64_t value) {
   switch (key.type) {
     case SettingType::kInteger:
@@ -27,6 +35,22 @@
   }
 }
 
+std::optional<std::int64_t> ValueFromJson(const SettingKey& key,
+                                          const Json& value) {
+  if (value.is_string())
+    return ParseSetting(key, value.get<std::string>());
+  if (!value.is_number_float())
+    return ParseSetting(key, value.dump());
+  // Printed with the six places that a share has, since JSON may print a small
+  // number with an exponent.
+  std::array<char, 32> text{};
+  const int length =
+      std::snprintf(text.data(), text.size(), "%.6f", value.get<double>());
+  if (length <= 0 || static_cast<std::size_t>(length) >= text.size())
+    return std::nullopt;
+  return ParseSetting(key, text.data());
+}
+
 /// Access to one JSON object that collects faults, also for unknown members.
 class ObjectReader {
  public:
@@ -56,7 +80,8 @@
     const Json* value = Find(name, required);
     if (!value)
       return 0;
-    if (value->is_number_unsigned())
+    if (value->is_number_unsigned() ||
+        (value->is_number_integer() && value->get<std::int64_t>() >= 0))
       return value->get<std::uint64_t>();
     Fault(std::string(name) + " must be a whole number from 0 on");
     return 0;
@@ -131,16 +156,11 @@
   setting.set_key(key->number);
   if (removal || !value)
     return;
-  std::string text;
-  if (value->is_string())
-    text = value->get<std::string>();
-  else if (value->is_boolean() || value->is_number())
-    text = value->dump();
-  const auto parsed = ParseSetting(*key, text);
+  const auto parsed = ValueFromJson(*key, *value);
   if (parsed)
     setting.set_value(*parsed);
   else
-    reader.Fault(std::string(key->name) + " = " + text.substr(0, 64) +
+    reader.Fault(std::string(key->name) + " = " + value->dump().substr(0, 64) +
                  ": must be " + DescribeAllowed(*key));
 }
 
--- a/lib/state/key_hash.cc
+++ b/lib/state/key_hash.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 
+#include "yuccastair/state/json.h"
 #include "yuccastair/support/error.h"
 
 namespace yuccastair::state {
@@ -57,9 +58,7 @@
 IssuedKey IssueKey(const std::string& organisation,
                    const std::function<std::string(std::size_t)>& random_hex) {
   const std::string secret = random_hex(kSecretDigits / 2);
-  // The digits of 8 random bytes are 16 bytes, one salt with 64 random bits:
-  // enough to make equal secrets' hashes differ, which is all a salt is for.
-  const std::string salt = random_hex(kSaltSize / 2);
+  const std::string salt = FromHex(random_hex(kSaltSize));
   IssuedKey issued;
   issued.text = organisation + "." + secret;
   issued.record.set_organisation(organisation);
--- /dev/null
+++ b/unittests/control/operator_api_test.cc
@@ -0,0 +1,250 @@
+// The operators' API and the settings part of sync, on a log under control of
+// the test.
+
+#include "operator_api.h"
+
+#include <catch2/catch.hpp>
+#include <thread>
+
+#include "settings_changes.h"
+#include "yuccastair/control/single_process_log.h"
+#include "yuccastair/state/json.h"
+#include "yuccastair/state/table_dispatcher.h"
+
+namespace yuccastair::control {
+namespace {
+
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+
+/// A log that can lose leadership, lose answers, or lag.
+class FaultyLog final : public consensus::ReplicatedLog {
+ public:
+  explicit FaultyLog(consensus::StateMachine& machine) : machine_(machine) {}
+
+  void Propose(std::string command, Done done) override {
+    consensus::ProposeOutcome outcome;
+    outcome.status = status;
+    if (apply)
+      outcome.result = machine_.Apply(++outcome.index, command);
+    if (answer)
+      done(outcome);
+  }
+  bool IsCurrentLeader() const override { return leader; }
+  std::string LeaderAddress() const override { return leader_address; }
+  support::TimePoint CurrentAsOf() const override { return current_as_of; }
+
+  consensus::ProposeStatus status = consensus::ProposeStatus::kCommitted;
+  bool apply = true;
+  bool answer = true;
+  bool leader = true;
+  std::string leader_address = "127.0.0.1:1";
+  support::TimePoint current_as_of;
+
+ private:
+  consensus::StateMachine& machine_;
+};
+
+class Fixture {
+ public:
+  Fixture() { tables.Add(wire::TABLE_SETTINGS, settings); }
+
+  std::pair<int, Json> Get(const std::string& path) {
+    return Send("GET", path, "");
+  }
+  std::pair<int, Json> Post(const Json& body) {
+    return Send("POST", "/v1/changes", body.dump());
+  }
+  std::pair<int, Json> Send(const std::string& method,
+                            const std::string& path,
+                            const std::string& body) {
+    http::Request request;
+    request.method = method;
+    request.path = path;
+    request.body = body;
+    const http::Response response = api.Handle(request);
+    return {response.status, Json::parse(response.body)};
+  }
+
+  static Json Change(const std::string& operation_id,
+                     std::uint64_t base,
+                     int attempts) {
+    return {
+        {"operation_id", operation_id},
+        {"base_version", base},
+        {"edits", {state::EditToJson(SetFleet(state::kAttempts, attempts))}}};
+  }
+
+  support::ManualClock clock;
+  state::SettingsMachine settings;
+  state::TableDispatcher tables;
+  FaultyLog log{tables};
+  SettingsSync sync{settings, log, clock};
+  bool core_takes_tasks = true;
+  bool core_runs_tasks = true;
+  OperatorApi api{{"c1",
+                   milliseconds(20),
+                   {{"127.0.0.1:2", "127.0.0.1:3"}},
+                   [] { return std::int64_t{0}; },
+                   nullptr},
+                  {log, settings, sync},
+                  [this](const std::function<void()>& task) {
+                    if (core_takes_tasks && core_runs_tasks)
+                      task();
+                    return core_takes_tasks;
+                  }};
+};
+
+TEST_CASE_METHOD(Fixture, "outcomes of a change map to statuses") {
+  CHECK(Post(Change("a", 0, 3)).first == 200);
+  const auto [status, body] = Post(Change("b", 0, 4));
+  CHECK(status == 409);
+  CHECK(body["outcome"] == "conflict");
+  CHECK(body["changed_since"][0]["operation_id"] == "a");
+  CHECK(Post(Change("c", 1, 900)).first == 400);
+  CHECK(Send("POST", "/v1/changes", "{").first == 400);
+  CHECK(Send("POST", "/v1/other", "{}").first == 404);
+  CHECK(Send("DELETE", "/v1/changes", "").first == 404);
+  CHECK(settings.version() == 1);
+}
+
+// Guards against a second effect of a change whose first response was lost.
+TEST_CASE_METHOD(Fixture, "a resend after a lost answer gets the first one") {
+  log.answer = false;
+  const auto lost = Post(Change("a", 0, 3));
+  CHECK(lost.first == 504);
+  CHECK(lost.second["outcome"] == "uncertain");
+  log.answer = true;
+  const auto [status, body] = Post(Change("a", 0, 3));
+  CHECK(status == 200);
+  CHECK(body["version"] == 1);
+  CHECK(settings.version() == 1);
+}
+
+TEST_CASE_METHOD(Fixture, "lost leadership is uncertain, never a failure") {
+  log.status = consensus::ProposeStatus::kUncertain;
+  log.apply = false;
+  CHECK(Post(Change("a", 0, 3)).first == 504);
+}
+
+TEST_CASE_METHOD(Fixture, "a follower names the leader") {
+  log.leader = false;
+  log.leader_address = "127.0.0.1:2";
+  auto [status, body] = Post(Change("a", 0, 3));
+  CHECK(status == 307);
+  CHECK(body["leader_operator_address"] == "127.0.0.1:3");
+  log.leader_address = "";
+  CHECK(Post(Change("a", 0, 3)).first == 503);
+  CHECK(settings.version() == 0);
+}
+
+// Guards against a change that runs after its operator was told that nothing
+// was done.
+TEST_CASE_METHOD(Fixture, "a change that was given up never runs") {
+  core_takes_tasks = false;
+  CHECK(Post(Change("a", 0, 3)).first == 503);
+  core_takes_tasks = true;
+  core_runs_tasks = false;
+  std::function<void()> late;
+  OperatorApi slow(
+      {"c1", milliseconds(1), {}, [] { return std::int64_t{0}; }, nullptr},
+      {log, settings, sync}, [&](std::function<void()> task) {
+        late = std::move(task);
+        return true;
+      });
+  http::Request request;
+  request.method = "POST";
+  request.path = "/v1/changes";
+  request.body = Change("a", 0, 3).dump();
+  CHECK(slow.Handle(request).status == 503);
+  late();
+  CHECK(settings.version() == 0);
+}
+
+TEST_CASE_METHOD(Fixture, "a plan shows the change and does not make it") {
+  const auto [status, body] =
+      Send("POST", "/v1/plan", Change("a", 0, 3).dump());
+  CHECK(status == 200);
+  CHECK(body["changes"][0]["after"]["value"] == 3);
+  CHECK(settings.version() == 0);
+}
+
+TEST_CASE_METHOD(Fixture, "reads show entries, values, history and diffs") {
+  Post(Change("a", 0, 3));
+  Post(Change("b", 1, 4));
+  CHECK(Get("/v1/status").second["settings_version"] == 2);
+  CHECK(Get("/v1/entries?prefix=fleet/").second["entries"].size() == 1);
+  CHECK(Get("/v1/entries?prefix=route/").second["entries"].empty());
+  CHECK(
+      Get("/v1/effective?level=service&name=x").second["values"][1]["source"] ==
+      "fleet");
+  CHECK(Get("/v1/effective?level=route&name=x").first == 404);
+  CHECK(Get("/v1/effective?level=x").first == 400);
+  CHECK(Get("/v1/history?since=1").second["changes"].size() == 1);
+  CHECK(Get("/v1/history?limit=1").second["changes"][0]["version"] == 2);
+  CHECK(Get("/v1/diff?from=0").second["changes"].size() == 1);
+  CHECK(Get("/v1/diff?from=0&to=9").first == 404);
+  CHECK(Get("/v1/diff?from=x").first == 400);
+  CHECK(Get("/v1/none").first == 404);
+}
+
+// Guards against a version older than the committed one from a process that
+// has restarted and not caught up.
+TEST_CASE_METHOD(Fixture, "nothing is handed out before having caught up") {
+  ApplyNext(settings, {SetFleet(state::kAttempts, 3)});
+  clock.Advance(milliseconds(100));
+  wire::SyncReply reply;
+  sync.Fill({}, reply);
+  CHECK(reply.settings().empty());
+  CHECK(reply.settings_version() == 0);
+  CHECK(reply.age_ms() > 3'000'000);
+  log.current_as_of = clock.Now() - milliseconds(40);
+  sync.Fill({}, reply);
+  CHECK_FALSE(reply.settings().empty());
+  CHECK(reply.settings_version() == 1);
+  CHECK(reply.age_ms() == 40);
+  clock.Advance(std::chrono::seconds(10));
+  sync.Fill({}, reply);
+  CHECK(reply.age_ms() == 10'040);
+}
+
+// Guards against a lost update when operators act at the same time.
+TEST_CASE("of many operators on one version exactly one wins") {
+  const support::SteadyClock clock;
+  state::SettingsMachine settings;
+  state::TableDispatcher tables;
+  tables.Add(wire::TABLE_SETTINGS, settings);
+  SingleProcessLog log(tables, clock, "127.0.0.1:1");
+  const SettingsSync sync(settings, log, clock);
+  std::mutex core;
+  OperatorApi api(
+      {"c1", milliseconds(20000), {}, [] { return std::int64_t{0}; }, nullptr},
+      {log, settings, sync}, [&](const std::function<void()>& task) {
+        std::lock_guard lock(core);
+        task();
+        return true;
+      });
+  constexpr int kOperators = 8;
+  std::vector<int> statuses(kOperators);
+  std::vector<std::thread> operators;
+  for (int i = 0; i < kOperators; ++i)
+    operators.emplace_back([&, i] {
+      const Json edit = state::EditToJson(SetFleet(state::kAttempts, 10 + i));
+      http::Request request;
+      request.method = "POST";
+      request.path = "/v1/changes";
+      request.body = Json({{"operation_id", "op" + std::to_string(i)},
+                           {"base_version", 0},
+                           {"edits", {edit}}})
+                         .dump();
+      statuses[static_cast<std::size_t>(i)] = api.Handle(request).status;
+    });
+  for (std::thread& thread : operators)
+    thread.join();
+  CHECK(std::count(statuses.begin(), statuses.end(), 200) == 1);
+  CHECK(std::count(statuses.begin(), statuses.end(), 409) == kOperators - 1);
+  CHECK(settings.version() == 1);
+}
+
+}  // namespace
+}  // namespace yuccastair::control
