--- a/include/yuccastair/state/schema.h
+++ b/include/yuccastair/state/schema.h
@@ -68,6 +68,10 @@
 std::optional<std::int64_t> ParseSetting(const SettingKey& key,
                                          std::string_view text);
 
+/// As above, from a number of JSON or TOML. Shares are read from it; any other
+/// type refuses a number with a fraction or exponent.
+std::optional<std::int64_t> ParseSetting(const SettingKey& key, double number);
+
 /// Returns whether a stored value is allowed for the key.
 bool IsAllowed(const SettingKey& key, std::int64_t value);
 
--- a/lib/state/json.cc
+++ b/lib/state/json.cc
@@ -4,10 +4,6 @@
 
 #include <sodium.h>
 
-#include <array>
-#include <cmath>
-#include <cstdio>
-#include <cstdlib>
 #include <optional>
 #include <set>
 
@@ -19,9 +15,6 @@
 
 using Json = nlohmann::json;
 
-// Far below the sixth decimal place, far above the error of a double.
-constexpr double kShareTolerance = 1e-9;
-
 Json ValueToJson(const SettingKey& key, std::int64_t value) {
   switch (key.type) {
     case SettingType::kInteger:
@@ -41,14 +34,7 @@
     return ParseSetting(key, value.get<std::string>());
   if (!value.is_number_float())
     return ParseSetting(key, value.dump());
-  // Printed with the six places that a share has, since JSON may print a small
-  // number with an exponent.
-  std::array<char, 32> text{};
-  const int length =
-      std::snprintf(text.data(), text.size(), "%.6f", value.get<double>());
-  if (length <= 0 || static_cast<std::size_t>(length) >= text.size())
-    return std::nullopt;
-  return ParseSetting(key, text.data());
+  return ParseSetting(key, value.get<double>());
 }
 
 /// Access to one JSON object that collects faults, also for unknown members.
--- a/lib/state/schema.cc
+++ b/lib/state/schema.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <vector>
 
 namespace yuccastair::state {
@@ -14,6 +15,8 @@
 constexpr std::array<const char*, 3> kIdempotentNames = {"false", "true",
                                                          "by-method"};
 constexpr int kShareDigits = 6;
+// In millionths: far above the rounding of a double, far below one unit.
+constexpr double kShareTolerance = 1e-3;
 
 std::optional<std::int64_t> ParseInteger(std::string_view text) {
   std::int64_t value = 0;
@@ -151,6 +154,17 @@
       ->name;
 }
 
+std::optional<std::int64_t> ParseSetting(const SettingKey& key, double number) {
+  if (key.type != SettingType::kShare || !(number >= 0 && number <= 1))
+    return std::nullopt;
+  const double units = number * static_cast<double>(kShareUnit);
+  const std::int64_t value = std::llround(units);
+  if (std::fabs(units - static_cast<double>(value)) > kShareTolerance ||
+      !IsAllowed(key, value))
+    return std::nullopt;
+  return value;
+}
+
 bool IsAllowed(const SettingKey& key, std::int64_t value) {
   return value >= key.min && value <= key.max;
 }
--- a/lib/state/validate.cc
+++ b/lib/state/validate.cc
@@ -204,9 +204,10 @@
                          Quote(other->second));
     } else if (entry.has_key()) {
       if (!tree.Find("organisation/" + entry.key().organisation()))
-        faults.push_back("organisation " + Quote(entry.key().organisation()) +
-                         ": it does not exist, but key " + entry.key().id() +
-                         " is its own; revoke the key first");
+        faults.push_back("key " + entry.key().id() +
+                         ": it belongs to organisation " +
+                         Quote(entry.key().organisation()) +
+                         ", which does not exist; revoke the key first");
     } else if (entry.has_setting()) {
       const wire::SettingValue& setting = entry.setting();
       if (setting.level() == wire::SETTINGS_LEVEL_ROUTE &&
--- a/tools/yuccastair/main.cc
+++ b/tools/yuccastair/main.cc
@@ -2,14 +2,18 @@
 
 #include <signal.h>
 
+#include <cstdlib>
 #include <cxxopts.hpp>
 #include <iostream>
 #include <string>
 #include <vector>
 
 #include "yuccastair/control/control.h"
+#include "yuccastair/ctl/ctl.h"
 #include "yuccastair/node/node.h"
+#include "yuccastair/state/tree_file.h"
 #include "yuccastair/support/error.h"
+#include "yuccastair/support/id.h"
 #include "yuccastair/support/log.h"
 #include "yuccastair/support/settings_file.h"
 
@@ -25,6 +29,7 @@
 commands:
   node     run the process beside a target
   control  run a control process, which holds the durable state
+  ctl      operate the fleet through a control process
   check    check a settings file
 
 'yuccastair COMMAND --help' shows the options of a command.
@@ -81,7 +86,23 @@
   return kExitSuccess;
 }
 
+int RunCtl(int argc, char** argv) {
+  signal(SIGPIPE, SIG_IGN);
+  const char* user = std::getenv("USER");
+  return ctl::Run(std::vector<std::string>(argv + 2, argv + argc),
+                  {std::cout, std::cerr, support::RandomHex, user ? user : ""});
+}
+
+int CheckTreeFile(const std::string& path) {
+  const state::TreeFile file = state::ReadTreeFile(path);
+  for (const support::SettingsFault& fault : file.faults)
+    std::cerr << fault.ToString() << '\n';
+  return file.faults.empty() ? kExitSuccess : kExitUsage;
+}
+
 int RunCheck(const std::string& path, const std::string& role) {
+  if (role == "tree")
+    return CheckTreeFile(path);
   support::SettingsFile file(path);
   if (role == "node")
     node::ReadSettings(file);
@@ -96,7 +117,7 @@
   add("config", "settings file in TOML", cxxopts::value<std::string>());
   add("help", "show this text");
   if (command == "check")
-    add("role", "node or control", cxxopts::value<std::string>());
+    add("role", "node, control or tree", cxxopts::value<std::string>());
   const cxxopts::ParseResult parsed = options.parse(argc, argv);
   if (parsed.count("help") > 0) {
     std::cout << options.help();
@@ -113,9 +134,9 @@
     return RunControl(path);
   const std::string role =
       parsed.count("role") > 0 ? parsed["role"].as<std::string>() : "";
-  if (role != "node" && role != "control") {
-    std::cerr
-        << "yuccastair check: --role node or --role control is required\n";
+  if (role != "node" && role != "control" && role != "tree") {
+    std::cerr << "yuccastair check: --role node, --role control or --role tree "
+                 "is required\n";
     return kExitUsage;
   }
   return RunCheck(path, role);
@@ -131,6 +152,8 @@
     std::cout << "yuccastair " << YUCCASTAIR_VERSION << '\n';
     return kExitSuccess;
   }
+  if (command == "ctl")
+    return RunCtl(argc, argv);
   if (command == "node" || command == "control" || command == "check")
     return RunWithConfig(command, argc - 1, argv + 1);
   std::cerr << (command.empty() ? "" : "unknown command " + command + "\n")
--- a/unittests/control/operator_api_test.cc
+++ b/unittests/control/operator_api_test.cc
@@ -227,6 +227,7 @@
   constexpr int kOperators = 8;
   std::vector<int> statuses(kOperators);
   std::vector<std::thread> operators;
+  operators.reserve(kOperators);
   for (int i = 0; i < kOperators; ++i)
     operators.emplace_back([&, i] {
       const Json edit = state::EditToJson(SetFleet(state::kAttempts, 10 + i));
