Refuse keyed requests at a node that is ahead of the log

Cause: a node ignores settings older than its own. If the control processes were set up anew with an empty log, a node would ignore all further changes, revocations included, and count as fresh.

Change: a control process that is current as of a time after it saw a node with a version beyond its own tells that node an unknown age, so the node refuses keyed requests until it is restarted. A process that only lags behind is not affected, since it is not current as of that time. Tests for this, for the sync client (a reply that cannot be applied is not fresh) and with random requests and updates.

--- a/lib/control/settings_sync.cc
+++ b/lib/control/settings_sync.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "yuccastair/support/log.h"
+
 namespace yuccastair::control {
 
 using std::chrono::milliseconds;
@@ -23,6 +25,22 @@
       kUnknownAge);
 }
 
+bool SettingsSync::ContradictsLog(std::uint64_t node_version) {
+  if (node_version <= settings_.version())
+    return false;
+  if (node_version > ahead_version_) {
+    ahead_version_ = node_version;
+    ahead_since_ = clock_.Now();
+  }
+  // The version reached the node before ahead_since_, so it was committed
+  // before, and a state that is current as of a later time contains it.
+  if (log_.CurrentAsOf() <= ahead_since_)
+    return false;
+  support::LogError("settings.node_ahead", {{"node_version", node_version},
+                                            {"version", settings_.version()}});
+  return true;
+}
+
 void SettingsSync::Fill(const wire::SyncRequest& request,
                         wire::SyncReply& reply) {
   caught_up_ = caught_up_ || log_.CurrentAsOf() >= started_at_;
@@ -30,6 +48,11 @@
   reply.set_leader_address(log_.LeaderAddress());
   if (!caught_up_)
     return;
+  if (ContradictsLog(request.settings_version())) {
+    reply.set_age_ms(static_cast<std::uint32_t>(
+        std::chrono::milliseconds(kUnknownAge).count()));
+    return;
+  }
   reply.set_settings_version(settings_.version());
   reply.set_settings(settings_.EncodeUpdate(request.settings_version()));
 }
--- a/lib/control/settings_sync.h
+++ b/lib/control/settings_sync.h
@@ -27,19 +27,30 @@
   ///
   /// A process that has not been current since its start may hold an older
   /// version than the committed one, even one from before its restart, so it
-  /// hands out none until it has caught up once.
+  /// hands out none until it has caught up once. A node that holds a version
+  /// that this log never had, because the control processes were set up anew,
+  /// would keep its old settings for good; it is told an unknown age, so that
+  /// it refuses keyed requests until it is restarted.
   void Fill(const wire::SyncRequest& request, wire::SyncReply& reply);
 
   /// Returns how old the applied state may be.
   std::chrono::milliseconds Age() const;
 
  private:
+  /// Returns whether a node holds a version that was certainly never committed
+  /// in this log.
+  bool ContradictsLog(std::uint64_t node_version);
+
   const state::SettingsMachine& settings_;
   const consensus::ReplicatedLog& log_;
   const support::Clock& clock_;
   const support::TimePoint started_at_;
   // Set once the state was current after started_at_.
   bool caught_up_ = false;
+  // The highest version that a node held before this process had it, and when
+  // that was first seen.
+  std::uint64_t ahead_version_ = 0;
+  support::TimePoint ahead_since_;
 };
 
 }  // namespace yuccastair::control
--- a/unittests/control/operator_api_test.cc
+++ b/unittests/control/operator_api_test.cc
@@ -208,6 +208,44 @@
   CHECK(reply.age_ms() == 10'040);
 }
 
+// Guards against nodes that keep old keys for good after the control processes
+// were set up anew with an empty log.
+TEST_CASE_METHOD(Fixture, "a node ahead of the log is told so") {
+  wire::SyncRequest request;
+  request.set_settings_version(7);
+  const auto age = [&] {
+    wire::SyncReply reply;
+    sync.Fill(request, reply);
+    return reply.age_ms();
+  };
+  log.current_as_of = clock.Now();
+  clock.Advance(milliseconds(10));
+  // This process may only lag behind the one that gave the node its version.
+  CHECK(age() == 10);
+  clock.Advance(milliseconds(10));
+  log.current_as_of = clock.Now();
+  CHECK(age() > 3'000'000);
+  for (int i = 0; i < 7; ++i)
+    ApplyNext(settings, {SetFleet(state::kAttempts, 2 + i)});
+  CHECK(age() == 0);
+}
+
+// Guards against a crash of a control process by what reaches its port.
+TEST_CASE_METHOD(Fixture, "random requests are refused and never crash") {
+  const auto bytes = GENERATE(take(200, chunk(40, random(1, 255))));
+  std::string text;
+  for (const int byte : bytes)
+    text += static_cast<char>(byte);
+  CHECK(Send("POST", "/v1/changes", text).first == 400);
+  CHECK(Send("POST", "/v1/plan", text).first == 400);
+  CHECK(Send("GET", text, "").first == 404);
+  CHECK(Send(text, "/v1/status", "").first == 404);
+  CHECK(Get("/v1/diff?from=" + text).first == 400);
+  CHECK(Get("/v1/effective?level=" + text).first == 400);
+  CHECK(Get("/v1/entries?prefix=" + text).second["entries"].empty());
+  CHECK(settings.version() == 0);
+}
+
 // Guards against a lost update when operators act at the same time.
 TEST_CASE("of many operators on one version exactly one wins") {
   const support::SteadyClock clock;
--- a/unittests/node/authoriser_test.cc
+++ b/unittests/node/authoriser_test.cc
@@ -209,6 +209,20 @@
   CHECK(view.Current()->version() == 1);
 }
 
+TEST_CASE_METHOD(Fixture, "random bytes never replace the settings") {
+  const auto bytes = GENERATE(take(200, chunk(60, random(0, 255))));
+  wire::SyncReply reply;
+  reply.set_settings_version(2);
+  std::string text;
+  for (const int byte : bytes)
+    text += static_cast<char>(byte);
+  reply.set_settings(text);
+  CHECK_FALSE(view.Apply(reply));
+  CHECK(StatusOf("GET", text, "") == 400);
+  CHECK(StatusOf("GET", "/orders", text) == 401);
+  CHECK(StatusOf("GET", "/orders", issued.text) == 0);
+}
+
 TEST_CASE_METHOD(Fixture, "deltas lead to the same settings as a snapshot") {
   for (int i = 0; i < 30; ++i) {
     ApplyNext(machine, {PutOrganisation("o" + std::to_string(i % 7), 1 + i, 5),
