Add the rate ledger and the token leases of nodes

Cause: rates and bursts have to hold over the whole fleet, exactly, with next to no refusals within the rate.

Design: a lease carries totals (granted, spent, returned), so that lost, repeated and reordered messages do no harm; needs state what a node wants to hold, not an increment. Spendings are reported in batches with their age and enter the bucket at the time at which they happened, so batching does not delay the refill. A lease that ends without a report counts as spent at its end.

New leader, ruled out: the whole burst outstanding (refuses everything for one ttl); nodes reporting their holdings (a node that is cut off holds tokens that nobody reports). Chosen: at most half of the burst is outstanding under one ledger, so a new leader starts with nothing available and that half outstanding, and grants at the full rate at once. After a predecessor that had not outlived the tokens before it, nothing is granted for one ttl, because several ledgers' tokens may add up.

--- /dev/null
+++ b/include/yuccastair/rates/rate_ledger.h
@@ -0,0 +1,119 @@
+// The leader's account of every organisation's rate.
+
+#ifndef YUCCASTAIR_RATES_RATE_LEDGER_H_
+#define YUCCASTAIR_RATES_RATE_LEDGER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <string>
+#include <unordered_map>
+
+#include "rates.pb.h"
+#include "yuccastair/rates/rate_limit.h"
+#include "yuccastair/rates/token_bucket.h"
+#include "yuccastair/support/clock.h"
+
+namespace yuccastair::rates {
+
+/// Grants token leases to nodes.
+///
+/// Invariant: the bucket level of an organisation, in which reported spendings
+/// count from the time at which they happened, is at least the number of tokens
+/// outstanding (granted, and neither reported as spent nor returned). Therefore
+/// spending what is outstanding never overdraws the bucket, and no window of
+/// length T holds more than burst + rate * T.
+///
+/// A lease that ends without a report counts as spent at its end.
+///
+/// At most half of the burst is ever outstanding under one ledger. A new leader
+/// therefore knows that tokens of a settled predecessor amount to no more than
+/// that half: it starts with nothing available and this half outstanding until
+/// those tokens have expired, and grants at the full rate from its first
+/// moment. Where the predecessor was not settled, tokens of several ledgers may
+/// be outstanding, and nothing is granted until all have expired.
+class RateLedger {
+ public:
+  /// What is known of the ledger before this one.
+  enum class Predecessor {
+    /// There was never one: no node holds tokens.
+    kNone,
+    /// It had outlived every token of the ledgers before itself.
+    kSettled,
+    /// It may have ended before that, or nothing is known.
+    kUnsettled,
+  };
+
+  /// \p clock outlives the ledger. The ledger must be created after every
+  /// earlier leader has granted its last token.
+  RateLedger(const support::Clock& clock,
+             LimitLookup limits,
+             Predecessor predecessor,
+             std::chrono::milliseconds ttl = kLeaseTtl);
+
+  /// Records the reports of a node and grants what it needs. A request with
+  /// fields that contradict the ledger is answered without a grant.
+  wire::RateGrant Handle(const wire::RateRequest& request);
+
+  /// Ends leases that were not renewed, and forgets organisations that no
+  /// longer have a limit.
+  void RemoveExpired();
+
+  /// Returns whether every token of earlier ledgers has expired.
+  bool IsSettled() const;
+
+  std::uint64_t epoch() const { return epoch_; }
+  std::size_t lease_count() const;
+  /// Returns the tokens granted to nodes and not accounted for yet.
+  double Outstanding(const std::string& organisation) const;
+
+ private:
+  struct Lease {
+    // Node id and incarnation.
+    std::string holder;
+    std::uint64_t number = 0;
+    std::uint64_t last_sequence = 0;
+    std::uint64_t granted = 0;
+    // spent + returned <= granted.
+    std::uint64_t spent = 0;
+    std::uint64_t returned = 0;
+    support::TimePoint expires_at;
+
+    std::uint64_t outstanding() const { return granted - spent - returned; }
+  };
+  struct Account {
+    explicit Account(const TokenBucket& initial) : bucket(initial) {}
+
+    TokenBucket bucket;
+    // Ordered by expires_at, because every renewal moves a lease to the end.
+    std::list<Lease> leases;
+    std::unordered_map<std::string, std::list<Lease>::iterator> by_holder;
+    // Sum over `leases`.
+    std::uint64_t outstanding = 0;
+    // Tokens that earlier leaders may have granted.
+    double inherited = 0;
+  };
+
+  Account& AccountOf(const std::string& organisation, const RateLimit& limit);
+  void HandleReport(const std::string& holder,
+                    std::uint64_t sequence,
+                    const wire::LeaseReport& report,
+                    wire::LeaseGrant& grant);
+  void Expire(Account& account);
+  /// Counts what is outstanding under \p lease as spent at \p when.
+  void CountAsSpent(Account& account, Lease& lease, support::TimePoint when);
+  void Record(Account& account, Lease& lease, const wire::LeaseReport& report);
+  void Grant(Account& account, Lease& lease, const wire::LeaseReport& report);
+
+  const support::Clock& clock_;
+  const LimitLookup limits_;
+  const Predecessor predecessor_;
+  const std::chrono::milliseconds ttl_;
+  const support::TimePoint started_at_;
+  const std::uint64_t epoch_;
+  std::unordered_map<std::string, Account> accounts_;
+};
+
+}  // namespace yuccastair::rates
+
+#endif  // YUCCASTAIR_RATES_RATE_LEDGER_H_
--- /dev/null
+++ b/lib/rates/rate_ledger.cc
@@ -0,0 +1,278 @@
+// Books reports and grants of token leases.
+
+#include "yuccastair/rates/rate_ledger.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "yuccastair/support/id.h"
+
+namespace yuccastair::rates {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Shares of the burst. What is outstanding stays within the first, which bounds
+// what a new leader has to assume. Tokens for the near future are granted only
+// within the second, so that traffic that moves to another node still finds
+// tokens while the former node returns its own.
+constexpr double kOutstandingShare = 0.5;
+constexpr double kExtraShare = 0.25;
+
+// Spendings that are not reported yet count as outstanding. Reporting within an
+// eighth of the time that the burst lasts keeps them well below its half.
+constexpr double kReportShare = 0.125;
+constexpr double kMinReportMs = 5;
+constexpr double kMaxReportMs = 250;
+constexpr double kMaxRetryMs = 60000;
+
+// Monotonic clocks of two instances differ in rate by less than 0.1%; the
+// ledger keeps a lease 1% longer than the node.
+constexpr int kExpiryMarginDivisor = 100;
+
+milliseconds LedgerTtl(milliseconds ttl) {
+  return ttl + ttl / kExpiryMarginDivisor;
+}
+
+double OutstandingBound(const RateLimit& limit) {
+  // A burst of one could never be granted within its half.
+  return std::min(limit.burst, std::max(1.0, limit.burst * kOutstandingShare));
+}
+
+std::uint64_t WholeTokens(double tokens) {
+  return tokens < 1 ? 0 : static_cast<std::uint64_t>(tokens);
+}
+
+std::uint64_t RandomEpoch() {
+  return (std::uint64_t{support::RandomBelow(0xffffffff)} << 32) |
+         (std::uint64_t{support::RandomBelow(0xffffffff)} + 1);
+}
+
+std::uint32_t ReportWithinMs(const RateLimit& limit) {
+  if (limit.rate <= 0)
+    return static_cast<std::uint32_t>(kMaxReportMs);
+  return static_cast<std::uint32_t>(
+      std::clamp(limit.burst / limit.rate * 1000 * kReportShare, kMinReportMs,
+                 kMaxReportMs));
+}
+
+}  // namespace
+
+RateLedger::RateLedger(const support::Clock& clock,
+                       LimitLookup limits,
+                       Predecessor predecessor,
+                       milliseconds ttl)
+    : clock_(clock),
+      limits_(std::move(limits)),
+      predecessor_(predecessor),
+      ttl_(ttl),
+      started_at_(clock.Now()),
+      epoch_(RandomEpoch()) {}
+
+wire::RateGrant RateLedger::Handle(const wire::RateRequest& request) {
+  wire::RateGrant reply;
+  reply.set_epoch(epoch_);
+  reply.set_sequence(request.sequence());
+  reply.set_incarnation(request.incarnation());
+  reply.set_ttl_ms(static_cast<std::uint32_t>(ttl_.count()));
+  // The length keeps different pairs of id and incarnation apart.
+  const std::string holder = std::to_string(request.node_id().size()) + ':' +
+                             request.node_id() + request.incarnation();
+  for (const wire::LeaseReport& report : request.reports()) {
+    wire::LeaseGrant* grant = reply.add_grants();
+    grant->set_organisation(report.organisation());
+    HandleReport(holder, request.sequence(), report, *grant);
+  }
+  return reply;
+}
+
+void RateLedger::HandleReport(const std::string& holder,
+                              std::uint64_t sequence,
+                              const wire::LeaseReport& report,
+                              wire::LeaseGrant& grant) {
+  const auto limit = limits_(report.organisation());
+  if (!limit) {
+    grant.set_unlimited(true);
+    return;
+  }
+  Account& account = AccountOf(report.organisation(), *limit);
+  Expire(account);
+  grant.set_lease(report.lease());
+  grant.set_report_within_ms(ReportWithinMs(*limit));
+  // The tokens of another leader's lease are part of `inherited`; the node sees
+  // from the epoch of the reply that it has to start a new lease.
+  if (report.epoch() != 0 && report.epoch() != epoch_)
+    return;
+  auto found = account.by_holder.find(holder);
+  if (found != account.by_holder.end() &&
+      found->second->number < report.lease()) {
+    // The node has ended that lease and spends nothing of it any more.
+    CountAsSpent(account, *found->second, clock_.Now());
+    account.leases.erase(found->second);
+    account.by_holder.erase(found);
+    found = account.by_holder.end();
+  }
+  if (found == account.by_holder.end()) {
+    // A lease that the ledger has ended has ended at the node as well.
+    if (report.epoch() != 0)
+      return;
+    account.leases.push_back({.holder = holder,
+                              .number = report.lease(),
+                              .last_sequence = 0,
+                              .granted = 0,
+                              .spent = 0,
+                              .returned = 0,
+                              .expires_at = {}});
+    found = account.by_holder.emplace(holder, std::prev(account.leases.end()))
+                .first;
+  }
+  Lease& lease = *found->second;
+  if (report.lease() < lease.number)
+    return;
+  Record(account, lease, report);
+  // A repeated or overtaken request states a need that is out of date.
+  if (sequence > lease.last_sequence) {
+    lease.last_sequence = sequence;
+    lease.expires_at = clock_.Now() + LedgerTtl(ttl_);
+    account.leases.splice(account.leases.end(), account.leases, found->second);
+    Grant(account, lease, report);
+  }
+  grant.set_granted(lease.granted);
+  grant.set_spent_seen(lease.spent);
+  if (lease.outstanding() < report.need()) {
+    const double available = account.bucket.Level(clock_.Now()) -
+                             static_cast<double>(account.outstanding) -
+                             account.inherited;
+    const double missing = std::max(0.0, 1 - available);
+    const double wait =
+        limit->rate > 0 ? missing / limit->rate * 1000 : kMaxRetryMs;
+    grant.set_retry_after_ms(static_cast<std::uint32_t>(
+        std::clamp(std::ceil(wait), 1.0, kMaxRetryMs)));
+  }
+}
+
+RateLedger::Account& RateLedger::AccountOf(const std::string& organisation,
+                                           const RateLimit& limit) {
+  const auto found = accounts_.find(organisation);
+  if (found != accounts_.end()) {
+    if (found->second.bucket.limit() != limit)
+      found->second.bucket.SetLimit(limit, clock_.Now());
+    return found->second;
+  }
+  double inherited = 0;
+  if (predecessor_ == Predecessor::kSettled)
+    inherited = OutstandingBound(limit);
+  else if (predecessor_ == Predecessor::kUnsettled)
+    inherited = limit.burst;
+  const double level =
+      predecessor_ == Predecessor::kNone ? limit.burst : inherited;
+  Account account(TokenBucket(limit, level, started_at_));
+  account.inherited = inherited;
+  return accounts_.emplace(organisation, std::move(account)).first->second;
+}
+
+void RateLedger::Record(Account& account,
+                        Lease& lease,
+                        const wire::LeaseReport& report) {
+  const auto now = clock_.Now();
+  const std::uint64_t spent =
+      std::min(report.spent(), lease.granted - lease.returned);
+  std::uint64_t fresh = spent > lease.spent ? spent - lease.spent : 0;
+  account.outstanding -= fresh;
+  lease.spent += fresh;
+  // The spendings that are new here are the last ones of the node.
+  auto when = now;
+  const int entries =
+      std::min(report.spend_age_ms_size(), report.spend_count_size());
+  for (int i = entries - 1; i >= 0 && fresh > 0; --i) {
+    when = now - milliseconds(report.spend_age_ms(i));
+    const std::uint64_t count =
+        std::min<std::uint64_t>(fresh, report.spend_count(i));
+    account.bucket.Spend(static_cast<double>(count), when, now);
+    fresh -= count;
+  }
+  if (fresh > 0)
+    account.bucket.Spend(static_cast<double>(fresh), when, now);
+  const std::uint64_t returned =
+      std::min(report.returned(), lease.granted - lease.spent);
+  if (returned > lease.returned) {
+    account.outstanding -= returned - lease.returned;
+    lease.returned = returned;
+  }
+}
+
+void RateLedger::Grant(Account& account,
+                       Lease& lease,
+                       const wire::LeaseReport& report) {
+  const RateLimit& limit = account.bucket.limit();
+  const double out =
+      static_cast<double>(account.outstanding) + account.inherited;
+  const double level = account.bucket.Level(clock_.Now()) - out;
+  const double room =
+      OutstandingBound(limit) - static_cast<double>(account.outstanding);
+  const std::uint64_t available = WholeTokens(std::min(level, room));
+  const std::uint64_t held = lease.outstanding();
+  const std::uint64_t need = report.need() > held ? report.need() - held : 0;
+  std::uint64_t tokens = std::min(need, available);
+  const std::uint64_t wanted =
+      std::uint64_t{report.need()} + std::uint64_t{report.extra()};
+  if (wanted > held + tokens) {
+    // Half of what is left, so that one node does not take everything.
+    const double left = std::min(limit.burst * kExtraShare - out, level) -
+                        static_cast<double>(tokens);
+    tokens += std::min(wanted - held - tokens, WholeTokens(left / 2));
+  }
+  lease.granted += tokens;
+  account.outstanding += tokens;
+}
+
+void RateLedger::CountAsSpent(Account& account,
+                              Lease& lease,
+                              support::TimePoint when) {
+  const std::uint64_t tokens = lease.outstanding();
+  account.bucket.Spend(static_cast<double>(tokens), when, clock_.Now());
+  account.outstanding -= tokens;
+  lease.spent += tokens;
+}
+
+void RateLedger::Expire(Account& account) {
+  const auto now = clock_.Now();
+  while (!account.leases.empty() && account.leases.front().expires_at <= now) {
+    Lease& lease = account.leases.front();
+    CountAsSpent(account, lease, lease.expires_at);
+    account.by_holder.erase(lease.holder);
+    account.leases.pop_front();
+  }
+  if (account.inherited > 0 && IsSettled()) {
+    account.bucket.Spend(account.inherited, started_at_ + LedgerTtl(ttl_), now);
+    account.inherited = 0;
+  }
+}
+
+void RateLedger::RemoveExpired() {
+  for (auto& [organisation, account] : accounts_)
+    Expire(account);
+}
+
+bool RateLedger::IsSettled() const {
+  return predecessor_ == Predecessor::kNone ||
+         clock_.Now() - started_at_ >= LedgerTtl(ttl_);
+}
+
+std::size_t RateLedger::lease_count() const {
+  std::size_t count = 0;
+  for (const auto& [organisation, account] : accounts_)
+    count += account.leases.size();
+  return count;
+}
+
+double RateLedger::Outstanding(const std::string& organisation) const {
+  const auto found = accounts_.find(organisation);
+  if (found == accounts_.end())
+    return 0;
+  return static_cast<double>(found->second.outstanding) +
+         found->second.inherited;
+}
+
+}  // namespace yuccastair::rates
--- /dev/null
+++ b/lib/rates/token_leases.cc
@@ -0,0 +1,282 @@
+// Spends, reports and renews token leases at a node.
+
+#include "yuccastair/rates/token_leases.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace yuccastair::rates {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kDemandWindow{100};
+// Weight of the newest window in the average demand.
+constexpr double kDemandWeight = 0.5;
+// Tokens for this many windows of average demand are held where the leader has
+// them to spare.
+constexpr double kHoldWindows = 10;
+
+// A request without an answer is sent again after this time.
+constexpr milliseconds kAnswerWait{50};
+constexpr milliseconds kMaxRetryWait{20};
+constexpr milliseconds kRenewAfter{1000};
+constexpr milliseconds kPrefetchInterval{50};
+
+// An organisation without a rate is not limited for this long after an answer.
+// A node that is cut off for 3 s refuses keyed requests anyway.
+constexpr milliseconds kUnlimitedTtl{10000};
+
+constexpr milliseconds kSpendingSlot{10};
+constexpr std::size_t kMaxSpendings = 64;
+constexpr std::size_t kMaxSentTimes = 256;
+
+std::uint32_t AgeMs(support::TimePoint when, support::TimePoint now) {
+  return static_cast<std::uint32_t>(
+      std::chrono::duration_cast<milliseconds>(now - when).count());
+}
+
+}  // namespace
+
+TokenLeases::TokenLeases(const support::Clock& clock,
+                         std::string node_id,
+                         std::string incarnation)
+    : clock_(clock),
+      node_id_(std::move(node_id)),
+      incarnation_(std::move(incarnation)) {}
+
+TokenLeases::Account& TokenLeases::AccountOf(const std::string& organisation) {
+  const auto [found, added] = accounts_.try_emplace(organisation);
+  if (added)
+    found->second.window_begin = clock_.Now();
+  return found->second;
+}
+
+void TokenLeases::StartLease(Account& account) {
+  const std::uint64_t number = account.lease.number + 1;
+  account.lease = {};
+  account.lease.number = number;
+  account.spendings.clear();
+  account.retry_at = {};
+}
+
+void TokenLeases::EndExpired(Account& account) const {
+  const auto now = clock_.Now();
+  if (account.lease.epoch != 0 && now >= account.lease.expires_at)
+    StartLease(account);
+  if (account.retired.epoch != 0 && now >= account.retired.expires_at)
+    account.retired = {};
+}
+
+void TokenLeases::UpdateDemand(Account& account) const {
+  const auto now = clock_.Now();
+  while (now - account.window_begin >= kDemandWindow) {
+    account.average_demand +=
+        kDemandWeight * (account.window_demand - account.average_demand);
+    account.window_demand = 0;
+    account.window_begin += kDemandWindow;
+    // A long idle time needs no step for each window.
+    if (account.average_demand < 0.001) {
+      account.average_demand = 0;
+      account.window_begin =
+          std::max(account.window_begin, now - kDemandWindow / 2);
+    }
+  }
+}
+
+std::uint32_t TokenLeases::Extra(const Account& account) const {
+  return static_cast<std::uint32_t>(account.average_demand * kHoldWindows);
+}
+
+bool TokenLeases::TryTake(const std::string& organisation) {
+  Account& account = AccountOf(organisation);
+  const auto now = clock_.Now();
+  EndExpired(account);
+  UpdateDemand(account);
+  if (now < account.unlimited_until) {
+    ++account.window_demand;
+    return true;
+  }
+  if (account.retired.held() > 0) {
+    ++account.retired.spent;
+    ++account.window_demand;
+    return true;
+  }
+  if (account.lease.held() == 0)
+    return false;
+  ++account.lease.spent;
+  ++account.window_demand;
+  auto& spendings = account.spendings;
+  if (spendings.empty() || now - spendings.back().first >= kSpendingSlot)
+    spendings.push_back({now, now, 0});
+  spendings.back().last = now;
+  ++spendings.back().count;
+  if (spendings.size() > kMaxSpendings) {
+    spendings[1].count += spendings[0].count;
+    spendings.pop_front();
+  }
+  return true;
+}
+
+void TokenLeases::AddWaiter(const std::string& organisation) {
+  ++AccountOf(organisation).waiting;
+}
+
+void TokenLeases::RemoveWaiter(const std::string& organisation) {
+  Account& account = AccountOf(organisation);
+  if (account.waiting > 0)
+    --account.waiting;
+}
+
+bool TokenLeases::IsDue(const Account& account) const {
+  const auto now = clock_.Now();
+  const auto since_asked = now - account.asked_at;
+  if (now < account.unlimited_until)
+    return account.window_demand > 0 && since_asked >= kRenewAfter;
+  const std::uint64_t held = account.lease.held() + account.retired.held();
+  if (account.waiting > held && now >= account.retry_at)
+    return true;
+  if (!account.spendings.empty() && since_asked >= account.report_within &&
+      now - account.spendings.front().first >= account.report_within)
+    return true;
+  const std::uint32_t extra = Extra(account);
+  if (extra > 0 && account.lease.held() < extra / 2 &&
+      since_asked >= std::max(kPrefetchInterval, account.report_within))
+    return true;
+  if (account.lease.held() == 0)
+    return false;
+  // Tokens beyond the demand go back soon, others are renewed.
+  return since_asked >=
+         (account.lease.held() > extra ? 2 * kPrefetchInterval : kRenewAfter);
+}
+
+void TokenLeases::FillReport(Account& account, wire::LeaseReport& report) {
+  const auto now = clock_.Now();
+  Lease& lease = account.lease;
+  const std::uint32_t extra = Extra(account);
+  const std::uint64_t wanted = std::uint64_t{account.waiting} + extra;
+  if (lease.held() > wanted)
+    lease.returned += lease.held() - wanted;
+  report.set_lease(lease.number);
+  report.set_epoch(lease.epoch);
+  report.set_spent(lease.spent);
+  report.set_returned(lease.returned);
+  report.set_need(account.waiting);
+  report.set_extra(extra);
+  for (const Spending& spending : account.spendings) {
+    report.add_spend_age_ms(AgeMs(spending.last, now));
+    report.add_spend_count(spending.count);
+  }
+  account.asked_at = now;
+  account.retry_at = now + kAnswerWait;
+}
+
+std::optional<wire::RateRequest> TokenLeases::NextRequest() {
+  bool due = false;
+  for (auto& [organisation, account] : accounts_) {
+    EndExpired(account);
+    UpdateDemand(account);
+    due = due || IsDue(account);
+  }
+  if (!due)
+    return std::nullopt;
+  wire::RateRequest request;
+  for (auto& [organisation, account] : accounts_) {
+    if (request.reports_size() >= kMaxReports)
+      break;
+    // Unreported spendings of the others travel along.
+    if (!IsDue(account) && account.lease.spent == account.lease.spent_seen)
+      continue;
+    wire::LeaseReport* report = request.add_reports();
+    report->set_organisation(organisation);
+    FillReport(account, *report);
+  }
+  request.set_node_id(node_id_);
+  request.set_incarnation(incarnation_);
+  request.set_sequence(next_sequence_);
+  sent_at_[next_sequence_++] = clock_.Now();
+  if (sent_at_.size() > kMaxSentTimes)
+    sent_at_.erase(sent_at_.begin());
+  return request;
+}
+
+void TokenLeases::Apply(const wire::RateGrant& grant) {
+  const auto sent = sent_at_.find(grant.sequence());
+  if (grant.not_leader() || grant.incarnation() != incarnation_ ||
+      grant.epoch() == 0 || sent == sent_at_.end())
+    return;
+  for (const wire::LeaseGrant& lease_grant : grant.grants()) {
+    const auto found = accounts_.find(lease_grant.organisation());
+    if (found == accounts_.end())
+      continue;
+    Account& account = found->second;
+    if (grant.sequence() <= account.last_sequence)
+      continue;
+    if (lease_grant.unlimited()) {
+      account.last_sequence = grant.sequence();
+      account.unlimited_until =
+          std::max(account.unlimited_until, sent->second + kUnlimitedTtl);
+      continue;
+    }
+    account.unlimited_until = {};
+    EndExpired(account);
+    ApplyLease(account, grant, lease_grant, sent->second);
+  }
+}
+
+void TokenLeases::ApplyLease(Account& account,
+                             const wire::RateGrant& grant,
+                             const wire::LeaseGrant& lease_grant,
+                             support::TimePoint sent_at) {
+  const auto now = clock_.Now();
+  Lease& lease = account.lease;
+  if (lease_grant.lease() != lease.number)
+    return;
+  if (lease.epoch != 0 && lease.epoch != grant.epoch()) {
+    // Another leader: its grants go to a lease of its own.
+    if (lease.held() > 0)
+      account.retired = lease;
+    StartLease(account);
+    return;
+  }
+  const auto expires_at =
+      sent_at +
+      milliseconds(std::min<std::uint32_t>(
+          grant.ttl_ms(), static_cast<std::uint32_t>(kLeaseTtl.count())));
+  // A ledger that has ended this lease knows fewer tokens; it renews nothing.
+  if (lease_grant.granted() < lease.granted || now >= expires_at)
+    return;
+  account.last_sequence = grant.sequence();
+  lease.epoch = grant.epoch();
+  lease.granted = lease_grant.granted();
+  lease.expires_at = std::max(lease.expires_at, expires_at);
+  lease.spent_seen =
+      std::clamp(lease_grant.spent_seen(), lease.spent_seen, lease.spent);
+  account.report_within = milliseconds(lease_grant.report_within_ms());
+  account.retry_after = milliseconds(lease_grant.retry_after_ms());
+  // Another node may give tokens back before the bucket refills.
+  account.retry_at = now + std::min(account.retry_after, kMaxRetryWait);
+  // Drop what the leader has recorded; its part of an entry as well.
+  std::uint64_t open = lease.spent - lease.spent_seen;
+  auto kept = account.spendings.end();
+  while (kept != account.spendings.begin() && open > 0) {
+    --kept;
+    kept->count =
+        static_cast<std::uint32_t>(std::min<std::uint64_t>(kept->count, open));
+    open -= kept->count;
+  }
+  account.spendings.erase(account.spendings.begin(), kept);
+}
+
+milliseconds TokenLeases::RetryAfter(const std::string& organisation) const {
+  const auto found = accounts_.find(organisation);
+  return found == accounts_.end() ? milliseconds(0) : found->second.retry_after;
+}
+
+std::uint64_t TokenLeases::Held(const std::string& organisation) {
+  Account& account = AccountOf(organisation);
+  EndExpired(account);
+  return account.lease.held() + account.retired.held();
+}
+
+}  // namespace yuccastair::rates
--- /dev/null
+++ b/unittests/rates/fleet_cases_test.cc
@@ -0,0 +1,223 @@
+// One case for each way in which tokens could be spent twice or be withheld
+// although the organisation is within its rate.
+
+#include <catch2/catch.hpp>
+
+#include "fleet_simulation.h"
+
+namespace yuccastair::rates {
+namespace {
+
+constexpr double kRounding = 1e-6;
+constexpr RateLimit kLimit{100, 100};
+
+// Sends `per_second` requests at even distances to the node that `choose` names
+// for each millisecond.
+void Steady(FleetSimulation& fleet,
+            int ms,
+            double per_second,
+            const std::function<int(int)>& choose) {
+  double due = 0;
+  fleet.Run(ms, [&](int t) {
+    for (due += per_second / 1000; due >= 1; due -= 1)
+      fleet.Request(choose(t));
+  });
+}
+
+TEST_CASE("steady traffic at the rate loses nothing") {
+  const double burst = GENERATE(3.0, 10.0, 100.0, 1000.0);
+  FleetSimulation fleet(1, 5, {100, burst});
+  Steady(fleet, 20000, 100, [](int t) { return t % 5; });
+  INFO("burst " << burst);
+  CHECK(fleet.refused == 0);
+  CHECK(fleet.WorstExcess({100, burst}) <= kRounding);
+}
+
+TEST_CASE("traffic that moves to another entry finds tokens") {
+  FleetSimulation fleet(2, 2, kLimit);
+  Steady(fleet, 20000, 95, [](int t) { return t / 700 % 2; });
+  CHECK(fleet.refused == 0);
+  CHECK(fleet.WorstExcess(kLimit) <= kRounding);
+}
+
+TEST_CASE("a slow trickle over more nodes than tokens a second is served") {
+  const RateLimit limit{10, 10};
+  FleetSimulation fleet(3, 200, limit);
+  Steady(fleet, 20000, 9.5, [&](int) { return fleet.Random(0, 199); });
+  CHECK(fleet.refused == 0);
+  CHECK(fleet.WorstExcess(limit) <= kRounding);
+}
+
+TEST_CASE("a whole burst at one node after an idle time is served") {
+  FleetSimulation fleet(4, 3, kLimit);
+  fleet.Run(500, [](int) {});
+  for (int i = 0; i < 100; ++i)
+    fleet.Request(0);
+  fleet.Run(100, [](int) {});
+  CHECK(fleet.refused == 0);
+}
+
+TEST_CASE("random arrivals lose hardly more than in one exact bucket") {
+  const RateLimit limit{50, 25};
+  FleetSimulation fleet(5, 10, limit);
+  int requests = 0;
+  fleet.Run(60000, [&](int) {
+    if (fleet.Chance(0.048)) {
+      fleet.Request(fleet.Random(0, 9));
+      ++requests;
+    }
+  });
+  fleet.Run(100, [](int) {});
+  const int ideal_refused = requests - fleet.ideal_served;
+  CHECK(fleet.refused <= ideal_refused + requests / 1000);
+  CHECK(fleet.WorstExcess(limit) <= kRounding);
+}
+
+TEST_CASE("a restarted node does not spend its former tokens again") {
+  FleetSimulation fleet(6, 2, kLimit);
+  fleet.Run(8000, [&](int t) {
+    fleet.Request(t % 2);
+    if (t % 97 == 0)
+      fleet.StartNode(0);
+  });
+  CHECK(fleet.WorstExcess(kLimit) <= kRounding);
+}
+
+TEST_CASE("a node that is cut off ends its lease before the leader does") {
+  FleetSimulation fleet(7, 3, {100, 1000});
+  // Node 0 collects tokens, is cut off, and spends them late; the others spend
+  // everything that the leader has.
+  Steady(fleet, 3000, 100, [](int) { return 0; });
+  fleet.Isolate(0, true);
+  Steady(fleet, 2900, 400, [](int t) { return 1 + t % 2; });
+  fleet.Run(4000, [&](int t) {
+    fleet.Request(t % 3);
+    fleet.Request(t % 3);
+  });
+  CHECK(fleet.WorstExcess({100, 1000}) <= kRounding);
+}
+
+// Leaves node `index` stalled with tokens that it has not spent.
+void LeaveTokensAt(FleetSimulation& fleet, std::size_t index, int tokens) {
+  // The grant arrives after the requests have given up waiting.
+  fleet.network.min_delay_ms = fleet.network.max_delay_ms = 30;
+  for (int i = 0; i < tokens; ++i)
+    fleet.Request(index);
+  fleet.Run(65, [](int) {});
+  fleet.Stall(index, true);
+  fleet.network.min_delay_ms = fleet.network.max_delay_ms = 1;
+}
+
+// Spends all that the nodes hold and all that the leader grants.
+void SpendEverything(FleetSimulation& fleet) {
+  for (std::size_t node = 0; node < fleet.node_count(); ++node)
+    fleet.Stall(node, false);
+  for (int i = 0; i < 400; ++i)
+    fleet.Request(static_cast<std::size_t>(i) % fleet.node_count());
+  fleet.Run(60, [](int) {});
+}
+
+TEST_CASE("a new leader counts the tokens that its predecessor granted") {
+  FleetSimulation fleet(14, 3, kLimit);
+  LeaveTokensAt(fleet, 0, 50);
+  fleet.StartLeader(RateLedger::Predecessor::kSettled);
+  fleet.Run(1500, [](int) {});
+  SpendEverything(fleet);
+  CHECK(fleet.spendings.size() >= 50);
+  CHECK(fleet.WorstExcess(kLimit) <= kRounding);
+}
+
+TEST_CASE("a new leader counts the tokens of several predecessors") {
+  FleetSimulation fleet(15, 3, kLimit);
+  LeaveTokensAt(fleet, 0, 50);
+  fleet.StartLeader(RateLedger::Predecessor::kSettled);
+  fleet.Run(700, [](int) {});
+  LeaveTokensAt(fleet, 1, 50);
+  fleet.StartLeader(RateLedger::Predecessor::kUnsettled);
+  fleet.Run(1000, [](int) {});
+  SpendEverything(fleet);
+  CHECK(fleet.spendings.size() >= 100);
+  CHECK(fleet.WorstExcess(kLimit) <= kRounding);
+}
+
+TEST_CASE("a new leader grants at the full rate at once") {
+  FleetSimulation fleet(8, 4, {100, 200});
+  Steady(fleet, 5000, 90, [](int t) { return t % 4; });
+  REQUIRE(fleet.refused == 0);
+  fleet.StartLeader(RateLedger::Predecessor::kSettled);
+  Steady(fleet, 5000, 90, [](int t) { return t % 4; });
+  CHECK(fleet.refused == 0);
+  CHECK(fleet.WorstExcess({100, 200}) <= kRounding);
+}
+
+TEST_CASE("held tokens serve part of the time without a leader") {
+  FleetSimulation fleet(9, 4, {100, 1000});
+  Steady(fleet, 5000, 90, [](int t) { return t % 4; });
+  fleet.ledger.reset();
+  Steady(fleet, 500, 90, [](int t) { return t % 4; });
+  CHECK(fleet.refused == 0);
+}
+
+TEST_CASE("leaders that follow each other quickly do not add up their tokens") {
+  FleetSimulation fleet(10, 4, {50, 100});
+  fleet.network.max_delay_ms = 5;
+  const auto rush = [&](int t) { fleet.Request(t % 4); };
+  fleet.Run(300, [](int) {});
+  fleet.Run(1000, rush);
+  for (int i = 0; i < 6; ++i) {
+    fleet.StartLeader(fleet.ledger->IsSettled()
+                          ? RateLedger::Predecessor::kSettled
+                          : RateLedger::Predecessor::kUnsettled);
+    fleet.Run(700, [](int) {});
+    fleet.Run(300, rush);
+  }
+  CHECK(fleet.WorstExcess({50, 100}) <= kRounding);
+}
+
+TEST_CASE("a changed rate takes effect") {
+  FleetSimulation fleet(11, 4, kLimit);
+  const auto rush = [&](int t) { fleet.Request(t % 4); };
+  fleet.Run(4000, rush);
+  fleet.limit = {10, 10};
+  // Tokens granted under the former limit may be spent until they expire.
+  fleet.Run(4000, rush);
+  fleet.spendings.clear();
+  fleet.Run(10000, rush);
+  CHECK(fleet.WorstExcess({10, 10}) <= kRounding);
+  CHECK(fleet.spendings.size() > 95);
+  fleet.limit = {200, 50};
+  fleet.spendings.clear();
+  fleet.Run(5000, rush);
+  CHECK(fleet.spendings.size() > 950);
+  CHECK(fleet.WorstExcess({200, 50}) <= kRounding);
+}
+
+TEST_CASE("a limit that is removed and set again takes effect") {
+  FleetSimulation fleet(12, 2, kLimit);
+  const auto rush = [&](int t) { fleet.Request(t % 2); };
+  fleet.Run(2000, rush);
+  fleet.limit.reset();
+  fleet.Run(2000, rush);
+  fleet.spendings.clear();
+  fleet.Run(1000, rush);
+  CHECK(fleet.spendings.size() >= 999);
+  fleet.limit = kLimit;
+  fleet.Run(2000, rush);
+  fleet.spendings.clear();
+  fleet.Run(3000, rush);
+  CHECK(fleet.WorstExcess(kLimit) <= kRounding);
+}
+
+TEST_CASE("a dead node's tokens become available again") {
+  FleetSimulation fleet(13, 2, {20, 100});
+  Steady(fleet, 3000, 20, [](int) { return 0; });
+  fleet.StartNode(0);
+  fleet.Run(5000, [](int) {});
+  for (int i = 0; i < 90; ++i)
+    fleet.Request(1);
+  fleet.Run(100, [](int) {});
+  CHECK(fleet.refused == 0);
+}
+
+}  // namespace
+}  // namespace yuccastair::rates
--- /dev/null
+++ b/unittests/rates/fleet_random_test.cc
@@ -0,0 +1,75 @@
+// No window of any run exceeds burst + rate * T, whatever happens to nodes,
+// leaders and messages.
+
+#include <catch2/catch.hpp>
+
+#include "fleet_simulation.h"
+
+namespace yuccastair::rates {
+namespace {
+
+constexpr double kRounding = 1e-6;
+
+// Returns whether anything was spent.
+bool RunOnce(unsigned seed) {
+  std::mt19937 choice(seed);
+  const auto pick = [&](int low, int high) {
+    return std::uniform_int_distribution<int>(low, high)(choice);
+  };
+  const RateLimit limit{static_cast<double>(pick(1, 300)),
+                        static_cast<double>(pick(1, 200))};
+  FleetSimulation fleet(seed, pick(1, 12), limit);
+  fleet.network = {.loss = pick(0, 3) * 0.1,
+                   .repeat = pick(0, 3) * 0.1,
+                   .min_delay_ms = 1,
+                   .max_delay_ms = pick(0, 3) == 0 ? 4000 : pick(1, 200)};
+  // Requests per millisecond and fault rates.
+  const double load = limit.rate * pick(5, 40) / 10000.0;
+  const double restart = pick(0, 2) * 0.001;
+  const double isolation = pick(0, 2) * 0.001;
+  const double change = pick(0, 2) * 0.0003;
+  const int last = static_cast<int>(fleet.node_count()) - 1;
+  // In half of the runs one node after the other gets all requests, so that
+  // idle nodes hold tokens.
+  const bool one_by_one = pick(0, 1) == 0;
+  const int turn = pick(200, 6000);
+  fleet.Run(12000, [&](int t) {
+    for (double left = load; left > 0; left -= 1) {
+      if (fleet.Chance(left))
+        fleet.Request(one_by_one ? t / turn % (last + 1)
+                                 : fleet.Random(0, last));
+    }
+    // Everyone at once, after an idle time and in the middle of the load.
+    if (t % 4000 == 3999) {
+      for (int i = 0; i < static_cast<int>(limit.burst) * 2; ++i)
+        fleet.Request(fleet.Random(0, last));
+    }
+    if (fleet.Chance(restart))
+      fleet.StartNode(fleet.Random(0, last));
+    if (fleet.Chance(isolation))
+      fleet.Isolate(fleet.Random(0, last), fleet.Chance(0.5));
+    if (fleet.Chance(isolation))
+      fleet.Stall(fleet.Random(0, last), fleet.Chance(0.5));
+    if (fleet.Chance(change)) {
+      const bool settled = fleet.ledger->IsSettled();
+      fleet.StartLeader(settled ? RateLedger::Predecessor::kSettled
+                                : RateLedger::Predecessor::kUnsettled);
+    }
+  });
+  INFO("seed " << seed << " rate " << limit.rate << " burst " << limit.burst
+               << " nodes " << fleet.node_count());
+  CHECK(fleet.WorstExcess(limit) <= kRounding);
+  return !fleet.spendings.empty();
+}
+
+TEST_CASE("no window exceeds rate and burst in random runs") {
+  constexpr unsigned kSeeds = 300;
+  unsigned spending_runs = 0;
+  for (unsigned seed = 1; seed <= kSeeds; ++seed)
+    spending_runs += RunOnce(seed) ? 1 : 0;
+  // Where every message takes seconds, a run may grant nothing in time.
+  CHECK(spending_runs > kSeeds * 7 / 10);
+}
+
+}  // namespace
+}  // namespace yuccastair::rates
--- /dev/null
+++ b/unittests/rates/fleet_simulation.h
@@ -0,0 +1,198 @@
+// A fleet on a simulated clock: nodes that spend tokens, leaders that grant
+// them, and a network that loses, delays, repeats and reorders messages.
+
+#ifndef YUCCASTAIR_UNITTESTS_RATES_FLEET_SIMULATION_H_
+#define YUCCASTAIR_UNITTESTS_RATES_FLEET_SIMULATION_H_
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "yuccastair/rates/rate_ledger.h"
+#include "yuccastair/rates/token_leases.h"
+
+namespace yuccastair::rates {
+
+class FleetSimulation {
+ public:
+  using milliseconds = std::chrono::milliseconds;
+
+  struct Network {
+    double loss = 0;
+    double repeat = 0;
+    int min_delay_ms = 1;
+    int max_delay_ms = 1;
+  };
+
+  FleetSimulation(unsigned seed, int nodes, RateLimit initial_limit)
+      : limit(initial_limit), random_(seed) {
+    nodes_.resize(nodes);
+    for (std::size_t i = 0; i < nodes_.size(); ++i)
+      StartNode(i);
+    StartLeader(RateLedger::Predecessor::kNone);
+  }
+
+  /// A new process in the place of node \p index; its waiting requests end.
+  void StartNode(std::size_t index) {
+    Node& node = nodes_.at(index);
+    node.incarnation = std::to_string(++incarnations_);
+    node.leases = std::make_unique<TokenLeases>(clock, std::to_string(index),
+                                                node.incarnation);
+    node.waiting.clear();
+  }
+
+  void StartLeader(RateLedger::Predecessor predecessor) {
+    ledger = std::make_unique<RateLedger>(
+        clock, [this](const std::string&) { return limit; }, predecessor);
+  }
+
+  void Request(std::size_t index) {
+    Node& node = nodes_.at(index);
+    const double passed =
+        std::chrono::duration<double>(clock.Now() - ideal_at_).count();
+    ideal_at_ = clock.Now();
+    ideal_level_ = std::min(limit->burst, ideal_level_ + passed * limit->rate);
+    if (ideal_level_ >= 1) {
+      ideal_level_ -= 1;
+      ++ideal_served;
+    }
+    if (node.waiting.empty() && node.leases->TryTake("org")) {
+      spendings.push_back(clock.Now());
+      return;
+    }
+    node.leases->AddWaiter("org");
+    node.waiting.push_back(clock.Now() + milliseconds(50));
+  }
+
+  /// Lets one millisecond pass.
+  void Step() {
+    clock.Advance(milliseconds(1));
+    Deliver();
+    if (ledger)
+      ledger->RemoveExpired();
+    for (std::size_t i = 0; i < nodes_.size(); ++i)
+      StepNode(i);
+  }
+
+  void Run(int ms, const std::function<void(int)>& each) {
+    for (int t = 0; t < ms; ++t) {
+      each(t);
+      Step();
+    }
+  }
+
+  /// Returns by how much the worst window exceeds burst + rate * T.
+  double WorstExcess(RateLimit checked) const {
+    double worst = -checked.burst;
+    double sum = 0;
+    for (std::size_t i = 0; i < spendings.size(); ++i) {
+      if (i > 0) {
+        const double gap =
+            std::chrono::duration<double>(spendings[i] - spendings[i - 1])
+                .count();
+        sum = std::max(0.0, sum - gap * checked.rate);
+      }
+      sum += 1;
+      worst = std::max(worst, sum - checked.burst);
+    }
+    return worst;
+  }
+
+  int Random(int low, int high) {
+    return std::uniform_int_distribution<int>(low, high)(random_);
+  }
+  bool Chance(double probability) {
+    return std::uniform_real_distribution<double>(0, 1)(random_) < probability;
+  }
+  std::size_t node_count() const { return nodes_.size(); }
+  void Isolate(std::size_t index, bool isolated) {
+    nodes_.at(index).isolated = isolated;
+  }
+  /// A stalled process sends nothing, but serves requests that come in.
+  void Stall(std::size_t index, bool stalled) {
+    nodes_.at(index).stalled = stalled;
+  }
+
+  support::ManualClock clock;
+  std::optional<RateLimit> limit;
+  Network network;
+  std::unique_ptr<RateLedger> ledger;
+  std::vector<support::TimePoint> spendings;
+  int refused = 0;
+  /// Served by one bucket that sees every request at once.
+  int ideal_served = 0;
+
+ private:
+  struct Node {
+    std::string incarnation;
+    std::unique_ptr<TokenLeases> leases;
+    // Deadlines of requests that wait for a token.
+    std::deque<support::TimePoint> waiting;
+    bool isolated = false;
+    bool stalled = false;
+  };
+  struct Message {
+    std::size_t node = 0;
+    std::optional<wire::RateRequest> request;
+    wire::RateGrant grant;
+  };
+
+  void Send(const Message& message) {
+    const int copies = Chance(network.repeat) ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+      if (nodes_.at(message.node).isolated || Chance(network.loss))
+        continue;
+      const auto delay =
+          milliseconds(Random(network.min_delay_ms, network.max_delay_ms));
+      messages_.emplace(clock.Now() + delay, message);
+    }
+  }
+
+  void Deliver() {
+    while (!messages_.empty() && messages_.begin()->first <= clock.Now()) {
+      const Message message = messages_.begin()->second;
+      messages_.erase(messages_.begin());
+      if (nodes_.at(message.node).isolated)
+        continue;
+      if (message.request && ledger) {
+        Send({message.node, std::nullopt, ledger->Handle(*message.request)});
+      } else if (!message.request) {
+        nodes_.at(message.node).leases->Apply(message.grant);
+      }
+    }
+  }
+
+  void StepNode(std::size_t index) {
+    Node& node = nodes_.at(index);
+    if (node.stalled)
+      return;
+    while (!node.waiting.empty() && node.leases->TryTake("org")) {
+      spendings.push_back(clock.Now());
+      node.leases->RemoveWaiter("org");
+      node.waiting.pop_front();
+    }
+    while (!node.waiting.empty() && node.waiting.front() <= clock.Now()) {
+      node.leases->RemoveWaiter("org");
+      node.waiting.pop_front();
+      ++refused;
+    }
+    if (const auto request = node.leases->NextRequest())
+      Send({index, *request, {}});
+  }
+
+  std::mt19937 random_;
+  std::vector<Node> nodes_;
+  int incarnations_ = 0;
+  std::multimap<support::TimePoint, Message> messages_;
+  double ideal_level_ = limit->burst;
+  support::TimePoint ideal_at_ = clock.Now();
+};
+
+}  // namespace yuccastair::rates
+
+#endif  // YUCCASTAIR_UNITTESTS_RATES_FLEET_SIMULATION_H_
