Limit organisations at the entry through leases of the leader

Cause: the rate gate admitted everything.

Change: the gate spends leased tokens, asks the leader at once when there are none, waits at most 50 ms and then refuses with 429, not_run, step "rate" and retry-after. Open routes are not limited. The control process keeps the ledger while it holds the leadership and takes rates and bursts from the settings table. It commits a mark before it grants anything and another one when the tokens of earlier ledgers have expired, so that a new leader knows whether tokens of several ledgers may be outstanding.

--- a/include/yuccastair/rates/rate_ledger.h
+++ b/include/yuccastair/rates/rate_ledger.h
@@ -45,10 +45,12 @@
   };
 
   /// \p clock outlives the ledger. The ledger must be created after every
-  /// earlier leader has granted its last token.
+  /// earlier leader has granted its last token. \p epoch is not 0 and differs
+  /// from that of every other ledger.
   RateLedger(const support::Clock& clock,
              LimitLookup limits,
              Predecessor predecessor,
+             std::uint64_t epoch,
              std::chrono::milliseconds ttl = kLeaseTtl);
 
   /// Records the reports of a node and grants what it needs. A request with
--- a/lib/control/control.cc
+++ b/lib/control/control.cc
@@ -10,10 +10,12 @@
 #include <variant>
 
 #include "operator_api.h"
+#include "rate_service.h"
 #include "settings_sync.h"
 #include "yuccastair/control/single_process_log.h"
 #include "yuccastair/http/server.h"
 #include "yuccastair/membership/registry.h"
+#include "yuccastair/rates/ledger_record.h"
 #include "yuccastair/state/settings_machine.h"
 #include "yuccastair/state/table_dispatcher.h"
 #include "yuccastair/support/bounded_ring.h"
@@ -51,6 +53,7 @@
         registry_(clock_, settings_.member_expiry),
         log_(tables_, clock_, settings_.peer_listen.ToString()),
         settings_sync_(settings_table_, log_, clock_),
+        rate_service_(log_, clock_, Limits()),
         events_(kEventRingCapacity),
         operator_api_(OperatorOptions(),
                       {log_, settings_table_, settings_sync_},
@@ -59,6 +62,7 @@
                       }),
         transport_(TransportOptions(), TransportHandlers()) {
     tables_.Add(wire::TABLE_SETTINGS, settings_table_);
+    tables_.Add(wire::TABLE_RATES, ledger_record_);
     core_ = std::thread([this] { Run(); });
     operator_server_.emplace(OperatorServerOptions());
     support::LogInfo("control.started",
@@ -125,18 +129,37 @@
       if (auto event = events_.Pop(kCoreTick))
         std::visit([this](auto& held) { Handle(held); }, *event);
       registry_.RemoveExpired();
+      rate_service_.Tick();
     }
   }
 
   static void Handle(const std::function<void()>& task) { task(); }
 
+  rates::LimitLookup Limits() const {
+    return [this](const std::string& organisation)
+               -> std::optional<rates::RateLimit> {
+      const wire::SettingsEntry* entry =
+          settings_table_.tree().Find("organisation/" + organisation);
+      if (entry == nullptr)
+        return std::nullopt;
+      return rates::RateLimit{entry->organisation().rate(),
+                              entry->organisation().burst()};
+    };
+  }
+
   void Handle(const PeerRequest& request) {
+    wire::Envelope answer;
+    answer.set_correlation(request.envelope.correlation());
+    if (request.envelope.has_rate_request()) {
+      *answer.mutable_rate_grant() =
+          rate_service_.Handle(request.envelope.rate_request());
+      transport_.Reply(request.route, std::move(answer));
+      return;
+    }
     if (!request.envelope.has_sync_request())
       return;
     const wire::SyncRequest& sync = request.envelope.sync_request();
     registry_.Report(sync.self());
-    wire::Envelope answer;
-    answer.set_correlation(request.envelope.correlation());
     wire::SyncReply* reply = answer.mutable_sync_reply();
     settings_sync_.Fill(sync, *reply);
     for (const wire::FollowedService& followed : sync.followed())
@@ -149,9 +172,11 @@
   // Owned by the core thread.
   membership::Registry registry_;
   state::SettingsMachine settings_table_;
+  rates::LedgerRecord ledger_record_;
   state::TableDispatcher tables_;
   SingleProcessLog log_;
   SettingsSync settings_sync_;
+  RateService rate_service_;
   support::BoundedRing<CoreEvent> events_;
   OperatorApi operator_api_;
   wire::Transport transport_;
--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -9,6 +9,7 @@
 #include "entry.h"
 #include "fleet_view.h"
 #include "forwarder.h"
+#include "leader_hint.h"
 #include "observer.h"
 #include "running_calls.h"
 #include "settings_view.h"
@@ -67,6 +68,7 @@
   explicit Impl(Settings settings)
       : settings_(std::move(settings)),
         incarnation_(support::RandomId()),
+        leader_(ToStrings(settings_.controls)),
         observer_(settings_),
         target_(settings_.target_workers, running_),
         transport_(TransportOptions(), TransportHandlers()),
@@ -75,6 +77,7 @@
         authoriser_(shared_settings_,
                     clock_,
                     [this] { return sync_.fresh_at(); }),
+        rates_(settings_.id, incarnation_, leader_, transport_, pending_),
         entry_(settings_,
                {authoriser_, rates_, claims_, forwarder_, running_, target_,
                 observer_}),
@@ -168,6 +171,7 @@
             .apply =
                 [this](const wire::SyncReply& reply) {
                   fleet_.Apply(reply);
+                  leader_.Set(reply.leader_address());
                   return shared_settings_.Apply(reply);
                 }};
   }
@@ -223,6 +227,7 @@
   const std::string incarnation_;
   SettingsView shared_settings_;
   std::atomic<bool> leaving_ = false;
+  LeaderHint leader_;
   Observer observer_;
   wire::PendingCalls pending_;
   RunningCalls running_;
--- a/lib/node/rate_gate.cc
+++ b/lib/node/rate_gate.cc
@@ -1,13 +1,124 @@
-// Admits everything until rates are known.
+// Waits for tokens and exchanges messages about leases with the leader.
 
 #include "rate_gate.h"
 
+#include <algorithm>
+#include <utility>
+
+#include "call_reply.h"
+
 namespace yuccastair::node {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kTooManyRequests = 429;
+// How often the leases are looked at while requests come in, and otherwise.
+constexpr milliseconds kBusyPoll{5};
+constexpr milliseconds kIdlePoll{100};
+// Pause after a control process could not be reached.
+constexpr milliseconds kFailurePause{10};
+constexpr milliseconds kAnswerWait{50};
+
+}  // namespace
+
+RateGate::RateGate(const std::string& node_id,
+                   const std::string& incarnation,
+                   LeaderHint& leader,
+                   wire::Transport& transport,
+                   wire::PendingCalls& pending)
+    : leader_(leader),
+      transport_(transport),
+      pending_(pending),
+      leases_(clock_, node_id, incarnation) {
+  thread_ = std::thread([this] { Run(); });
+}
+
+RateGate::~RateGate() {
+  {
+    std::lock_guard lock(mutex_);
+    stopping_ = true;
+  }
+  needed_.notify_all();
+  granted_.notify_all();
+  thread_.join();
+}
+
+std::optional<wire::CallReply> RateGate::Admit(const std::string& organisation,
+                                               support::TimePoint deadline) {
+  if (organisation.empty())
+    return std::nullopt;
+  std::unique_lock lock(mutex_);
+  bool taken = leases_.TryTake(organisation);
+  // The thread reports the spending, and renews or enlarges the lease.
+  if (!std::exchange(work_, true) || !taken)
+    needed_.notify_one();
+  if (taken)
+    return std::nullopt;
+  leases_.AddWaiter(organisation);
+  const auto until = std::min(deadline, clock_.Now() + kTokenWait);
+  granted_.wait_until(lock, until, [&] {
+    taken = leases_.TryTake(organisation);
+    return taken || stopping_;
+  });
+  leases_.RemoveWaiter(organisation);
+  if (taken)
+    return std::nullopt;
+  wire::CallReply reply = NotRun(
+      "rate", "the organisation is above its rate or its tokens did not come",
+      kTooManyRequests);
+  reply.set_retry_after_ms(static_cast<std::uint32_t>(
+      std::max(milliseconds(1), leases_.RetryAfter(organisation)).count()));
+  return reply;
+}
+
+void RateGate::Run() {
+  std::unique_lock lock(mutex_);
+  while (!stopping_) {
+    const bool busy = std::exchange(work_, false);
+    const std::optional<wire::RateRequest> request = leases_.NextRequest();
+    if (!request) {
+      if (busy)
+        needed_.wait_for(lock, kBusyPoll);
+      else
+        needed_.wait_for(lock, kIdlePoll, [&] { return work_ || stopping_; });
+      continue;
+    }
+    lock.unlock();
+    const bool answered = Exchange(*request);
+    lock.lock();
+    granted_.notify_all();
+    work_ = true;
+    if (!answered)
+      needed_.wait_for(lock, kFailurePause, [&] { return stopping_; });
+  }
+}
 
-std::optional<wire::CallReply> RateGate::Admit(
-    const std::string& /*organisation*/,
-    support::TimePoint /*deadline*/) {
-  return std::nullopt;
+bool RateGate::Exchange(const wire::RateRequest& request) {
+  const std::string address = leader_.Address();
+  if (address.empty())
+    return false;
+  wire::Envelope envelope;
+  const std::uint64_t correlation = pending_.Begin();
+  envelope.set_correlation(correlation);
+  *envelope.mutable_rate_request() = request;
+  if (!transport_.Send(address, std::move(envelope)))
+    pending_.CompleteUndelivered(correlation);
+  const wire::Answer answer = pending_.Wait(correlation, kAnswerWait);
+  if (answer.result != wire::WaitResult::kAnswered ||
+      !answer.envelope.has_rate_grant()) {
+    leader_.Failed(address);
+    return false;
+  }
+  const wire::RateGrant& grant = answer.envelope.rate_grant();
+  if (grant.not_leader()) {
+    leader_.Failed(address);
+    leader_.Set(grant.leader_address());
+    return false;
+  }
+  std::lock_guard lock(mutex_);
+  leases_.Apply(grant);
+  return true;
 }
 
 }  // namespace yuccastair::node
--- a/lib/node/rate_gate.h
+++ b/lib/node/rate_gate.h
@@ -3,20 +3,64 @@
 #ifndef YUCCASTAIR_LIB_NODE_RATE_GATE_H_
 #define YUCCASTAIR_LIB_NODE_RATE_GATE_H_
 
+#include <chrono>
+#include <condition_variable>
+#include <mutex>
 #include <optional>
 #include <string>
+#include <thread>
 
 #include "envelope.pb.h"
+#include "leader_hint.h"
+#include "yuccastair/rates/token_leases.h"
 #include "yuccastair/support/clock.h"
+#include "yuccastair/wire/pending_calls.h"
+#include "yuccastair/wire/transport.h"
 
 namespace yuccastair::node {
 
 /// Admits requests within the rate and burst of their organisation.
+///
+/// One thread exchanges messages with the leader; requests without a token wait
+/// for it, at most kTokenWait.
 class RateGate {
  public:
-  /// Takes one token; returns the refusal if there is none in time.
+  static constexpr std::chrono::milliseconds kTokenWait{50};
+
+  RateGate(const std::string& node_id,
+           const std::string& incarnation,
+           LeaderHint& leader,
+           wire::Transport& transport,
+           wire::PendingCalls& pending);
+  ~RateGate();
+
+  RateGate(const RateGate&) = delete;
+  RateGate& operator=(const RateGate&) = delete;
+
+  /// Takes one token; returns the refusal if there is none in time. An empty
+  /// organisation, that of an open route, has no rate.
   std::optional<wire::CallReply> Admit(const std::string& organisation,
                                        support::TimePoint deadline);
+
+ private:
+  void Run();
+  /// Sends a request and applies its answer. Returns whether one came.
+  bool Exchange(const wire::RateRequest& request);
+
+  LeaderHint& leader_;
+  wire::Transport& transport_;
+  wire::PendingCalls& pending_;
+  const support::SteadyClock clock_;
+  std::mutex mutex_;
+  // For requests that wait for a token.
+  std::condition_variable granted_;
+  // For the thread.
+  std::condition_variable needed_;
+  // Guarded by mutex_.
+  rates::TokenLeases leases_;
+  bool work_ = false;
+  bool stopping_ = false;
+  std::thread thread_;
 };
 
 }  // namespace yuccastair::node
--- /dev/null
+++ b/lib/rates/ledger_record.cc
@@ -0,0 +1,32 @@
+// Applies the marks of rate ledgers.
+
+#include "yuccastair/rates/ledger_record.h"
+
+#include "yuccastair/support/error.h"
+
+namespace yuccastair::rates {
+
+std::string LedgerRecord::Apply(std::uint64_t /*index*/,
+                                const std::string& command) {
+  const std::string before = mark_.SerializeAsString();
+  wire::LedgerMark mark;
+  if (!mark.ParseFromString(command) || mark.epoch() == 0)
+    return before;
+  if (!mark.settled() || mark.epoch() == mark_.epoch())
+    mark_ = mark;
+  return before;
+}
+
+std::string LedgerRecord::TakeSnapshot() const {
+  return mark_.SerializeAsString();
+}
+
+void LedgerRecord::RestoreSnapshot(const std::string& snapshot) {
+  wire::LedgerMark mark;
+  if (!mark.ParseFromString(snapshot))
+    throw support::Error("restore snapshot", "",
+                         "the mark of the rate ledger cannot be decoded");
+  mark_ = mark;
+}
+
+}  // namespace yuccastair::rates
--- a/lib/rates/rate_ledger.cc
+++ b/lib/rates/rate_ledger.cc
@@ -6,8 +6,6 @@
 #include <cmath>
 #include <utility>
 
-#include "yuccastair/support/id.h"
-
 namespace yuccastair::rates {
 namespace {
 
@@ -44,11 +42,6 @@
   return tokens < 1 ? 0 : static_cast<std::uint64_t>(tokens);
 }
 
-std::uint64_t RandomEpoch() {
-  return (std::uint64_t{support::RandomBelow(0xffffffff)} << 32) |
-         (std::uint64_t{support::RandomBelow(0xffffffff)} + 1);
-}
-
 std::uint32_t ReportWithinMs(const RateLimit& limit) {
   if (limit.rate <= 0)
     return static_cast<std::uint32_t>(kMaxReportMs);
@@ -62,13 +55,14 @@
 RateLedger::RateLedger(const support::Clock& clock,
                        LimitLookup limits,
                        Predecessor predecessor,
+                       std::uint64_t epoch,
                        milliseconds ttl)
     : clock_(clock),
       limits_(std::move(limits)),
       predecessor_(predecessor),
       ttl_(ttl),
       started_at_(clock.Now()),
-      epoch_(RandomEpoch()) {}
+      epoch_(epoch) {}
 
 wire::RateGrant RateLedger::Handle(const wire::RateRequest& request) {
   wire::RateGrant reply;
--- /dev/null
+++ b/unittests/control/rate_service_test.cc
@@ -0,0 +1,117 @@
+// The ledger follows the leadership, and no leader grants before its mark is
+// committed.
+
+#include "rate_service.h"
+
+#include <catch2/catch.hpp>
+
+#include "fake_log.h"
+#include "yuccastair/rates/ledger_record.h"
+#include "yuccastair/state/table_dispatcher.h"
+
+namespace yuccastair::control {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct Fixture {
+  Fixture()
+      : log(tables), service(log, clock, [](const std::string&) {
+          return std::optional(rates::RateLimit{10, 100});
+        }) {
+    tables.Add(wire::TABLE_RATES, record);
+  }
+
+  // Asks with a lease of its own each time, as another node would.
+  wire::RateGrant Ask(std::uint32_t need) {
+    wire::RateRequest request;
+    request.set_node_id("n" + std::to_string(++asked));
+    request.set_incarnation("i");
+    request.set_sequence(1);
+    wire::LeaseReport* report = request.add_reports();
+    report->set_organisation("acme");
+    report->set_lease(1);
+    report->set_need(need);
+    return service.Handle(request);
+  }
+
+  int asked = 0;
+  support::ManualClock clock;
+  rates::LedgerRecord record;
+  state::TableDispatcher tables;
+  FakeLog log;
+  RateService service;
+};
+
+TEST_CASE("a first leader grants from a full bucket") {
+  Fixture fixture;
+  const wire::RateGrant grant = fixture.Ask(50);
+  REQUIRE(grant.grants_size() == 1);
+  CHECK(grant.grants(0).granted() == 50);
+}
+
+TEST_CASE("nothing is granted before the mark of the ledger is committed") {
+  Fixture fixture;
+  fixture.log.commit_at_once = false;
+  CHECK(fixture.Ask(1).not_leader());
+  fixture.log.CommitAll();
+  CHECK(!fixture.Ask(1).not_leader());
+}
+
+TEST_CASE("a process that is not the leader names the leader") {
+  Fixture fixture;
+  fixture.log.leader = false;
+  const wire::RateGrant grant = fixture.Ask(1);
+  CHECK(grant.not_leader());
+  CHECK(grant.leader_address() == "127.0.0.1:1");
+}
+
+TEST_CASE("a leader that returns does not know its former grants") {
+  Fixture fixture;
+  REQUIRE(fixture.Ask(50).grants(0).granted() == 50);
+  fixture.clock.Advance(milliseconds(5000));
+  // Marks the ledger as settled.
+  fixture.service.Tick();
+  fixture.log.leader = false;
+  fixture.service.Tick();
+  fixture.log.leader = true;
+  CHECK(fixture.Ask(50).grants(0).granted() == 0);
+  fixture.clock.Advance(milliseconds(1000));
+  CHECK(fixture.Ask(50).grants(0).granted() == 10);
+}
+
+TEST_CASE("after an unsettled ledger nothing is granted for the lease time") {
+  Fixture fixture;
+  REQUIRE(fixture.Ask(50).grants(0).granted() == 50);
+  for (int i = 0; i < 2; ++i) {
+    fixture.log.leader = false;
+    fixture.service.Tick();
+    fixture.log.leader = true;
+    fixture.service.Tick();
+    fixture.clock.Advance(milliseconds(1000));
+  }
+  CHECK(fixture.Ask(1).grants(0).granted() == 0);
+  fixture.clock.Advance(milliseconds(3000));
+  CHECK(fixture.Ask(1).grants(0).granted() == 1);
+}
+
+TEST_CASE("a mark that comes after the leadership ended starts no ledger") {
+  Fixture fixture;
+  fixture.log.commit_at_once = false;
+  fixture.service.Tick();
+  fixture.log.leader = false;
+  fixture.service.Tick();
+  fixture.log.CommitAll();
+  CHECK(fixture.Ask(1).not_leader());
+}
+
+TEST_CASE("a damaged mark is reported and changes nothing") {
+  rates::LedgerRecord record;
+  const std::string before = record.TakeSnapshot();
+  CHECK_THROWS(record.RestoreSnapshot("\xff\xff\xff"));
+  record.Apply(1, "\xff\xff\xff");
+  CHECK(record.TakeSnapshot() == before);
+}
+
+}  // namespace
+}  // namespace yuccastair::control
--- /dev/null
+++ b/unittests/node/rate_gate_test.cc
@@ -0,0 +1,115 @@
+// The rate gate against a ledger over real sockets.
+
+#include "rate_gate.h"
+
+#include <catch2/catch.hpp>
+
+#include "yuccastair/rates/rate_ledger.h"
+
+namespace yuccastair::node {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A control process that does nothing but grant.
+class LedgerServer {
+ public:
+  explicit LedgerServer(const std::string& address)
+      : ledger_(
+            clock_,
+            [](const std::string& organisation) {
+              // No refill, so that the number of admitted requests is exact.
+              return organisation == "limited"
+                         ? std::optional(rates::RateLimit{0, 20})
+                         : std::nullopt;
+            },
+            rates::RateLedger::Predecessor::kNone,
+            1),
+        transport_({.listen = address, .curve = std::nullopt},
+                   {.on_request =
+                        [this](const wire::ReplyRoute& route,
+                               const wire::Envelope& envelope) {
+                          wire::Envelope answer;
+                          answer.set_correlation(envelope.correlation());
+                          *answer.mutable_rate_grant() =
+                              ledger_.Handle(envelope.rate_request());
+                          transport_.Reply(route, std::move(answer));
+                        },
+                    .on_answer = nullptr,
+                    .on_undelivered = nullptr,
+                    .on_tick = nullptr}) {}
+
+ private:
+  const support::SteadyClock clock_;
+  rates::RateLedger ledger_;
+  wire::Transport transport_;
+};
+
+class GateFixture {
+ public:
+  explicit GateFixture(const std::string& control)
+      : leader_({control}),
+        transport_(
+            {.listen = "", .curve = std::nullopt},
+            {.on_request = nullptr,
+             .on_answer =
+                 [this](const std::string&, wire::Envelope envelope) {
+                   const auto correlation = envelope.correlation();
+                   pending_.Complete(correlation, std::move(envelope));
+                 },
+             .on_undelivered =
+                 [this](const std::string&, const wire::Envelope& envelope) {
+                   pending_.CompleteUndelivered(envelope.correlation());
+                 },
+             .on_tick = nullptr}),
+        gate("n1", "i1", leader_, transport_, pending_) {}
+
+  // Repeats a request that is refused because the connection is not up yet.
+  int AdmittedOf(const std::string& organisation, int requests) {
+    int admitted = 0;
+    for (int i = 0; i < requests; ++i) {
+      if (!gate.Admit(organisation, support::SteadyClock().Now() + seconds(5)))
+        ++admitted;
+    }
+    return admitted;
+  }
+
+ private:
+  LeaderHint leader_;
+  wire::PendingCalls pending_;
+  wire::Transport transport_;
+
+ public:
+  RateGate gate;
+};
+
+TEST_CASE("exactly the burst is admitted, and the refusal is a true not-run") {
+  LedgerServer server("127.0.0.1:28101");
+  GateFixture fixture("127.0.0.1:28101");
+  CHECK(fixture.AdmittedOf("limited", 60) == 20);
+  const auto refusal =
+      fixture.gate.Admit("limited", support::SteadyClock().Now() + seconds(5));
+  REQUIRE(refusal);
+  CHECK(refusal->outcome() == wire::OUTCOME_NOT_RUN);
+  CHECK(refusal->status() == 429);
+  CHECK(refusal->step() == "rate");
+  CHECK(refusal->retry_after_ms() > 0);
+}
+
+TEST_CASE("open routes and organisations without a rate are not limited") {
+  LedgerServer server("127.0.0.1:28102");
+  GateFixture fixture("127.0.0.1:28102");
+  CHECK(fixture.AdmittedOf("", 100) == 100);
+  // The first requests may find the connection not up yet.
+  CHECK(fixture.AdmittedOf("free", 200) > 100);
+}
+
+TEST_CASE("without a leader nothing is admitted for an organisation") {
+  GateFixture fixture("127.0.0.1:28103");
+  CHECK(fixture.AdmittedOf("limited", 3) == 0);
+  CHECK(fixture.AdmittedOf("", 3) == 3);
+}
+
+}  // namespace
+}  // namespace yuccastair::node
--- a/unittests/rates/fleet_simulation.h
+++ b/unittests/rates/fleet_simulation.h
@@ -48,7 +48,8 @@
 
   void StartLeader(RateLedger::Predecessor predecessor) {
     ledger = std::make_unique<RateLedger>(
-        clock, [this](const std::string&) { return limit; }, predecessor);
+        clock, [this](const std::string&) { return limit; }, predecessor,
+        ++epochs_);
   }
 
   void Request(std::size_t index) {
@@ -188,6 +189,7 @@
   std::mt19937 random_;
   std::vector<Node> nodes_;
   int incarnations_ = 0;
+  std::uint64_t epochs_ = 0;
   std::multimap<support::TimePoint, Message> messages_;
   double ideal_level_ = limit->burst;
   support::TimePoint ideal_at_ = clock.Now();
