Claim non-idempotent requests before they run

Cause: the claim gate let every request run, so a resend could run twice.

Change: a deterministic claim table in the replicated log (claim, finish with up to 16 KiB of answer, release that voids a late claim of the same attempt). Time is that of the commands: the leader adds the time since it became leader to the time of the table. Claims are kept for an hour and never dropped earlier; a full table refuses new ones. At the leader one command is under way at a time and takes everything that came meanwhile; claims that would change nothing are answered from the applied state. The node repeats a claim with the same attempt id towards a new leader, and says not_run only after a confirmed release. Calls of targets with an Idempotency-Key are claimed too.

Decided: a resend while the first attempt runs waits for its answer and is otherwise told `unknown` with 409: `not_run` would allow the caller to send under another key. Another body gets 409 not_run.

--- /dev/null
+++ b/include/yuccastair/claims/claim_table.h
@@ -0,0 +1,105 @@
+// The replicated table of claims of non-idempotent requests.
+
+#ifndef YUCCASTAIR_CLAIMS_CLAIM_TABLE_H_
+#define YUCCASTAIR_CLAIMS_CLAIM_TABLE_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "claims.pb.h"
+#include "yuccastair/consensus/state_machine.h"
+
+namespace yuccastair::claims {
+
+/// The table TABLE_CLAIMS of the replicated log.
+///
+/// A command is a wire::ClaimCommand and its result a wire::ClaimResults.
+/// Claims are kept for Limits::retention after their last change and never
+/// dropped earlier; while the table is full, new claims are refused. Time is
+/// that of the commands alone.
+class ClaimTable final : public consensus::StateMachine {
+ public:
+  /// Equal on all control processes, since they decide what a command does.
+  struct Limits {
+    std::chrono::milliseconds retention = std::chrono::hours(1);
+    /// How long a late claim of a released attempt is recognised.
+    std::chrono::milliseconds release_retention = std::chrono::minutes(10);
+    std::size_t claims = 1000000;
+    std::size_t releases = 200000;
+    /// Keys and answers of all claims.
+    std::size_t bytes = std::size_t{512} << 20;
+    std::size_t answer_bytes = std::size_t{16} << 10;
+    std::size_t key_bytes = 1024;
+  };
+
+  ClaimTable() = default;
+  explicit ClaimTable(const Limits& limits) : limits_(limits) {}
+
+  std::string Apply(std::uint64_t index, const std::string& command) override;
+  std::string TakeSnapshot() const override;
+
+  /// Throws Error with step "restore snapshot" if the snapshot is damaged.
+  void RestoreSnapshot(const std::string& snapshot) override;
+
+  /// Returns the result of a claim that would change nothing, so that it need
+  /// not go through the log; GRANTED stands for one that would.
+  wire::ClaimResult Peek(const wire::ClaimOperation& operation) const;
+
+  /// Time of the latest command.
+  std::uint64_t time_ms() const { return time_ms_; }
+  std::size_t claim_count() const { return claims_.size(); }
+  std::size_t release_count() const { return releases_.size(); }
+  const Limits& limits() const { return limits_; }
+
+ private:
+  struct Claim {
+    std::string key;
+    std::string attempt_id;
+    std::string body_hash;
+    // Whether it was finished; the answer may be empty all the same.
+    bool ended = false;
+    std::string answer;
+    std::uint64_t changed_ms = 0;
+
+    std::size_t bytes() const { return key.size() + answer.size(); }
+  };
+  struct Release {
+    std::string attempt_id;
+    std::uint64_t released_ms = 0;
+  };
+  using ClaimList = std::list<Claim>;
+
+  wire::ClaimResult ApplyOne(const wire::ClaimOperation& operation);
+  wire::ClaimResult ApplyClaim(const wire::ClaimOperation& operation);
+  wire::ClaimStatus Finish(const wire::ClaimOperation& operation);
+  wire::ClaimStatus ReleaseAttempt(const wire::ClaimOperation& operation);
+  wire::ClaimResult Describe(const Claim& claim,
+                             const wire::ClaimOperation& operation) const;
+  bool IsReleased(const std::string& attempt_id) const;
+  void RemoveExpired();
+  void Add(Claim claim);
+  void Remove(ClaimList::iterator claim);
+  void AddRelease(const Release& release);
+
+  Limits limits_;
+  std::uint64_t time_ms_ = 0;
+  // Ordered by changed_ms.
+  ClaimList claims_;
+  // The views point into claims_.
+  std::unordered_map<std::string_view, ClaimList::iterator> by_key_;
+  // Sum of Claim::bytes().
+  std::size_t bytes_ = 0;
+  // Ordered by released_ms.
+  std::list<Release> releases_;
+  std::unordered_map<std::string_view, std::list<Release>::iterator>
+      by_attempt_;
+};
+
+}  // namespace yuccastair::claims
+
+#endif  // YUCCASTAIR_CLAIMS_CLAIM_TABLE_H_
--- a/lib/control/control.cc
+++ b/lib/control/control.cc
@@ -9,9 +9,11 @@
 #include <utility>
 #include <variant>
 
+#include "claim_service.h"
 #include "operator_api.h"
 #include "rate_service.h"
 #include "settings_sync.h"
+#include "yuccastair/claims/claim_table.h"
 #include "yuccastair/control/single_process_log.h"
 #include "yuccastair/http/server.h"
 #include "yuccastair/membership/registry.h"
@@ -54,6 +56,7 @@
         log_(tables_, clock_, settings_.peer_listen.ToString()),
         settings_sync_(settings_table_, log_, clock_),
         rate_service_(log_, clock_, Limits()),
+        claim_service_(log_, claim_table_, clock_),
         events_(kEventRingCapacity),
         operator_api_(OperatorOptions(),
                       {log_, settings_table_, settings_sync_},
@@ -63,6 +66,7 @@
         transport_(TransportOptions(), TransportHandlers()) {
     tables_.Add(wire::TABLE_SETTINGS, settings_table_);
     tables_.Add(wire::TABLE_RATES, ledger_record_);
+    tables_.Add(wire::TABLE_CLAIMS, claim_table_);
     core_ = std::thread([this] { Run(); });
     operator_server_.emplace(OperatorServerOptions());
     support::LogInfo("control.started",
@@ -130,6 +134,7 @@
         std::visit([this](auto& held) { Handle(held); }, *event);
       registry_.RemoveExpired();
       rate_service_.Tick();
+      claim_service_.Tick();
     }
   }
 
@@ -156,6 +161,16 @@
       transport_.Reply(request.route, std::move(answer));
       return;
     }
+    if (request.envelope.has_claim_request()) {
+      claim_service_.Handle(
+          request.envelope.claim_request(),
+          [this, route = request.route,
+           answer = std::move(answer)](const wire::ClaimReply& reply) mutable {
+            *answer.mutable_claim_reply() = reply;
+            transport_.Reply(route, std::move(answer));
+          });
+      return;
+    }
     if (!request.envelope.has_sync_request())
       return;
     const wire::SyncRequest& sync = request.envelope.sync_request();
@@ -173,10 +188,12 @@
   membership::Registry registry_;
   state::SettingsMachine settings_table_;
   rates::LedgerRecord ledger_record_;
+  claims::ClaimTable claim_table_;
   state::TableDispatcher tables_;
   SingleProcessLog log_;
   SettingsSync settings_sync_;
   RateService rate_service_;
+  ClaimService claim_service_;
   support::BoundedRing<CoreEvent> events_;
   OperatorApi operator_api_;
   wire::Transport transport_;
--- a/lib/node/entry.cc
+++ b/lib/node/entry.cc
@@ -137,11 +137,13 @@
                                const std::function<bool()>& caller_gone) {
   if (call.idempotent() || idempotency_key.empty())
     return duties_.forwarder.Forward(call, deadline, caller_gone);
-  if (auto reply = duties_.claims.Begin(call, idempotency_key, deadline))
-    return *std::move(reply);
+  ClaimGate::Claim claim =
+      duties_.claims.Begin(call, idempotency_key, deadline);
+  if (claim.reply)
+    return *std::move(claim.reply);
   wire::CallReply reply =
       duties_.forwarder.Forward(call, deadline, caller_gone);
-  duties_.claims.Finish(call, idempotency_key, reply);
+  duties_.claims.Finish(claim, reply);
   return reply;
 }
 
@@ -188,7 +190,8 @@
   const std::uint32_t extra = duties_.running.TakeAttempts(token, first);
   call.set_attempt_budget(first + extra);
   const wire::CallReply reply =
-      duties_.forwarder.Forward(call, context->deadline, request.caller_gone);
+      RunOnce(call, http::FindHeader(request.headers, kIdempotencyHeader),
+              context->deadline, request.caller_gone);
   duties_.observer.Finish(hop, context->request_id, &call, reply);
   duties_.running.ReturnAttempts(token, reply.unused_attempts());
   return ToResponse(reply, context->request_id);
--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -9,6 +9,7 @@
 #include "entry.h"
 #include "fleet_view.h"
 #include "forwarder.h"
+#include "leader_channel.h"
 #include "leader_hint.h"
 #include "observer.h"
 #include "running_calls.h"
@@ -77,7 +78,9 @@
         authoriser_(shared_settings_,
                     clock_,
                     [this] { return sync_.fresh_at(); }),
-        rates_(settings_.id, incarnation_, leader_, transport_, pending_),
+        leader_channel_(leader_, transport_, pending_),
+        rates_(settings_.id, incarnation_, leader_channel_),
+        claims_(leader_channel_),
         entry_(settings_,
                {authoriser_, rates_, claims_, forwarder_, running_, target_,
                 observer_}),
@@ -237,6 +240,7 @@
   SyncClient sync_;
   Forwarder forwarder_;
   Authoriser authoriser_;
+  LeaderChannel leader_channel_;
   RateGate rates_;
   ClaimGate claims_;
   Entry entry_;
--- a/lib/node/rate_gate.cc
+++ b/lib/node/rate_gate.cc
@@ -24,13 +24,8 @@
 
 RateGate::RateGate(const std::string& node_id,
                    const std::string& incarnation,
-                   LeaderHint& leader,
-                   wire::Transport& transport,
-                   wire::PendingCalls& pending)
-    : leader_(leader),
-      transport_(transport),
-      pending_(pending),
-      leases_(clock_, node_id, incarnation) {
+                   LeaderChannel& leader)
+    : leader_(leader), leases_(clock_, node_id, incarnation) {
   thread_ = std::thread([this] { Run(); });
 }
 
@@ -95,25 +90,14 @@
 }
 
 bool RateGate::Exchange(const wire::RateRequest& request) {
-  const std::string address = leader_.Address();
-  if (address.empty())
-    return false;
   wire::Envelope envelope;
-  const std::uint64_t correlation = pending_.Begin();
-  envelope.set_correlation(correlation);
   *envelope.mutable_rate_request() = request;
-  if (!transport_.Send(address, std::move(envelope)))
-    pending_.CompleteUndelivered(correlation);
-  const wire::Answer answer = pending_.Wait(correlation, kAnswerWait);
-  if (answer.result != wire::WaitResult::kAnswered ||
-      !answer.envelope.has_rate_grant()) {
-    leader_.Failed(address);
+  const auto answer = leader_.Exchange(std::move(envelope), kAnswerWait);
+  if (!answer || !answer->has_rate_grant())
     return false;
-  }
-  const wire::RateGrant& grant = answer.envelope.rate_grant();
+  const wire::RateGrant& grant = answer->rate_grant();
   if (grant.not_leader()) {
-    leader_.Failed(address);
-    leader_.Set(grant.leader_address());
+    leader_.Redirect(grant.leader_address());
     return false;
   }
   std::lock_guard lock(mutex_);
--- a/lib/node/rate_gate.h
+++ b/lib/node/rate_gate.h
@@ -11,11 +11,9 @@
 #include <thread>
 
 #include "envelope.pb.h"
-#include "leader_hint.h"
+#include "leader_channel.h"
 #include "yuccastair/rates/token_leases.h"
 #include "yuccastair/support/clock.h"
-#include "yuccastair/wire/pending_calls.h"
-#include "yuccastair/wire/transport.h"
 
 namespace yuccastair::node {
 
@@ -29,9 +27,7 @@
 
   RateGate(const std::string& node_id,
            const std::string& incarnation,
-           LeaderHint& leader,
-           wire::Transport& transport,
-           wire::PendingCalls& pending);
+           LeaderChannel& leader);
   ~RateGate();
 
   RateGate(const RateGate&) = delete;
@@ -47,9 +43,7 @@
   /// Sends a request and applies its answer. Returns whether one came.
   bool Exchange(const wire::RateRequest& request);
 
-  LeaderHint& leader_;
-  wire::Transport& transport_;
-  wire::PendingCalls& pending_;
+  LeaderChannel& leader_;
   const support::SteadyClock clock_;
   std::mutex mutex_;
   // For requests that wait for a token.
--- /dev/null
+++ b/unittests/claims/claim_table_test.cc
@@ -0,0 +1,213 @@
+// Claims: one attempt runs, ends are kept in time and bounds, and late,
+// repeated or damaged commands do no harm.
+
+#include "yuccastair/claims/claim_table.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+#include <set>
+
+namespace yuccastair::claims {
+namespace {
+
+wire::ClaimOperation Operation(wire::ClaimAction action,
+                               const std::string& key,
+                               const std::string& attempt,
+                               const std::string& content = "body") {
+  wire::ClaimOperation operation;
+  operation.set_action(action);
+  operation.set_key(key);
+  operation.set_attempt_id(attempt);
+  if (action == wire::CLAIM_ACTION_CLAIM)
+    operation.set_body_hash(content);
+  if (action == wire::CLAIM_ACTION_FINISH)
+    operation.set_answer(content);
+  return operation;
+}
+
+wire::ClaimOperation ClaimOf(const std::string& key,
+                             const std::string& attempt,
+                             const std::string& body = "body") {
+  return Operation(wire::CLAIM_ACTION_CLAIM, key, attempt, body);
+}
+wire::ClaimOperation FinishOf(const std::string& key,
+                              const std::string& attempt,
+                              const std::string& answer) {
+  return Operation(wire::CLAIM_ACTION_FINISH, key, attempt, answer);
+}
+wire::ClaimOperation ReleaseOf(const std::string& key,
+                               const std::string& attempt) {
+  return Operation(wire::CLAIM_ACTION_RELEASE, key, attempt);
+}
+
+wire::ClaimResult Apply(ClaimTable& table,
+                        const wire::ClaimOperation& operation,
+                        std::uint64_t time_ms = 1) {
+  wire::ClaimCommand command;
+  command.set_time_ms(time_ms);
+  *command.add_operations() = operation;
+  wire::ClaimResults results;
+  REQUIRE(results.ParseFromString(table.Apply(1, command.SerializeAsString())));
+  REQUIRE(results.results_size() == 1);
+  return results.results(0);
+}
+
+TEST_CASE("a second attempt does not run, and gets the first answer") {
+  ClaimTable table;
+  CHECK(Apply(table, ClaimOf("k", "a")).status() == wire::CLAIM_STATUS_GRANTED);
+  // The entry repeats its claim towards a new leader.
+  CHECK(Apply(table, ClaimOf("k", "a")).status() == wire::CLAIM_STATUS_GRANTED);
+  CHECK(Apply(table, ClaimOf("k", "b")).status() ==
+        wire::CLAIM_STATUS_IN_PROGRESS);
+  CHECK(Apply(table, ClaimOf("k", "b", "other")).status() ==
+        wire::CLAIM_STATUS_OTHER_BODY);
+  CHECK(Apply(table, FinishOf("k", "b", "x")).status() ==
+        wire::CLAIM_STATUS_REFUSED);
+  CHECK(Apply(table, FinishOf("k", "a", "first")).status() ==
+        wire::CLAIM_STATUS_RECORDED);
+  CHECK(Apply(table, FinishOf("k", "a", "second")).status() ==
+        wire::CLAIM_STATUS_RECORDED);
+  const wire::ClaimResult result = Apply(table, ClaimOf("k", "b"));
+  CHECK(result.status() == wire::CLAIM_STATUS_FINISHED);
+  CHECK(result.answer() == "first");
+  CHECK(Apply(table, ReleaseOf("k", "a")).status() ==
+        wire::CLAIM_STATUS_REFUSED);
+}
+
+TEST_CASE("a late claim of a released attempt is void") {
+  ClaimTable table;
+  Apply(table, ReleaseOf("k", "a"));
+  CHECK(Apply(table, ClaimOf("k", "a")).status() == wire::CLAIM_STATUS_VOID);
+  CHECK(Apply(table, ClaimOf("k", "b")).status() == wire::CLAIM_STATUS_GRANTED);
+  Apply(table, ReleaseOf("k", "b"));
+  CHECK(Apply(table, ClaimOf("k", "b")).status() == wire::CLAIM_STATUS_VOID);
+  CHECK(Apply(table, ClaimOf("k", "c")).status() == wire::CLAIM_STATUS_GRANTED);
+}
+
+TEST_CASE("an answer that is too large leaves the outcome unknown") {
+  ClaimTable table({.answer_bytes = 10});
+  Apply(table, ClaimOf("k", "a"));
+  Apply(table, FinishOf("k", "a", "longer than ten"));
+  CHECK(Apply(table, ClaimOf("k", "b")).status() == wire::CLAIM_STATUS_UNKNOWN);
+}
+
+TEST_CASE("a full table refuses new claims and drops none early") {
+  ClaimTable table({.retention = std::chrono::milliseconds(1000), .claims = 2});
+  Apply(table, ClaimOf("k1", "a"), 100);
+  Apply(table, ClaimOf("k2", "b"), 200);
+  CHECK(Apply(table, ClaimOf("k3", "c"), 1099).status() ==
+        wire::CLAIM_STATUS_FULL);
+  CHECK(Apply(table, ClaimOf("k1", "d"), 1099).status() ==
+        wire::CLAIM_STATUS_IN_PROGRESS);
+  CHECK(Apply(table, ClaimOf("k3", "c"), 1100).status() ==
+        wire::CLAIM_STATUS_GRANTED);
+}
+
+TEST_CASE("a full list of released attempts refuses a release") {
+  ClaimTable table({.releases = 1});
+  Apply(table, ReleaseOf("k", "a"));
+  CHECK(Apply(table, ReleaseOf("k", "b")).status() == wire::CLAIM_STATUS_FULL);
+  CHECK(Apply(table, ReleaseOf("k", "a")).status() ==
+        wire::CLAIM_STATUS_RECORDED);
+}
+
+TEST_CASE("time that goes back expires nothing and changes no order") {
+  ClaimTable table({.retention = std::chrono::milliseconds(1000)});
+  Apply(table, ClaimOf("k1", "a"), 5000);
+  Apply(table, ClaimOf("k2", "b"), 10);
+  CHECK(table.time_ms() == 5000);
+  CHECK(Apply(table, ClaimOf("k1", "c"), 5999).status() ==
+        wire::CLAIM_STATUS_IN_PROGRESS);
+}
+
+TEST_CASE("a snapshot restores equal state, a damaged one is reported") {
+  ClaimTable table;
+  Apply(table, ClaimOf("k1", "a"));
+  Apply(table, FinishOf("k1", "a", "answer"));
+  Apply(table, ClaimOf("k2", "b"));
+  Apply(table, ReleaseOf("k3", "c"));
+  ClaimTable other;
+  Apply(other, ClaimOf("k9", "z"));
+  other.RestoreSnapshot(table.TakeSnapshot());
+  CHECK(other.TakeSnapshot() == table.TakeSnapshot());
+  CHECK(Apply(other, ClaimOf("k3", "c")).status() == wire::CLAIM_STATUS_VOID);
+  CHECK(Apply(other, ClaimOf("k1", "d")).answer() == "answer");
+  CHECK_THROWS(other.RestoreSnapshot("\xff\xff"));
+}
+
+// Entries whose messages are lost, repeated and reordered. Attempts that are
+// granted run at once; those that give up run never, once their release is
+// confirmed.
+void RunRandomly(unsigned seed) {
+  std::mt19937 random(seed);
+  const auto below = [&](unsigned bound) { return random() % bound; };
+  ClaimTable table;
+  std::vector<wire::ClaimOperation> network;
+  std::map<std::string, std::set<std::string>> runs;
+  std::set<std::string> released;
+  std::set<std::string> decided;
+  int attempts = 0;
+  for (int step = 0; step < 4000; ++step) {
+    if (network.empty() || below(3) == 0) {
+      network.push_back(ClaimOf("k" + std::to_string(below(40)),
+                                "a" + std::to_string(attempts++)));
+    }
+    const std::size_t chosen = below(static_cast<unsigned>(network.size()));
+    const wire::ClaimOperation operation = network[chosen];
+    if (below(4) != 0)
+      network.erase(network.begin() + static_cast<std::ptrdiff_t>(chosen));
+    const wire::ClaimResult result = Apply(table, operation, step);
+    const std::string& attempt = operation.attempt_id();
+    const bool answer_lost = below(4) == 0;
+    if (operation.action() == wire::CLAIM_ACTION_CLAIM) {
+      if (result.status() == wire::CLAIM_STATUS_FINISHED)
+        REQUIRE(runs[operation.key()].count(result.answer()) == 1);
+      // An entry heeds the first answer only, and takes its loss for a refusal.
+      if (!decided.insert(attempt).second)
+        continue;
+      if (answer_lost || result.status() != wire::CLAIM_STATUS_GRANTED) {
+        network.push_back(ReleaseOf(operation.key(), attempt));
+        continue;
+      }
+      INFO("seed " << seed << " step " << step << " attempt " << attempt);
+      REQUIRE(released.count(attempt) == 0);
+      runs[operation.key()].insert(attempt);
+      REQUIRE(runs[operation.key()].size() == 1);
+      network.push_back(FinishOf(operation.key(), attempt, attempt));
+    } else if (operation.action() == wire::CLAIM_ACTION_RELEASE &&
+               result.status() == wire::CLAIM_STATUS_RECORDED) {
+      released.insert(attempt);
+    }
+  }
+  CHECK(!runs.empty());
+}
+
+TEST_CASE("each request runs at most once in random runs") {
+  for (unsigned seed = 1; seed <= 50; ++seed)
+    RunRandomly(seed);
+}
+
+TEST_CASE("random commands never crash and keep two tables equal") {
+  std::mt19937 random(1);
+  ClaimTable first({.claims = 5, .releases = 5});
+  ClaimTable second({.claims = 5, .releases = 5});
+  for (int i = 0; i < 20000; ++i) {
+    std::string bytes(random() % 48, '\0');
+    for (char& byte : bytes)
+      byte = static_cast<char>(random() % 4 == 0 ? random() : random() % 40);
+    if (random() % 2 == 0) {
+      wire::ClaimCommand command;
+      command.set_time_ms(random());
+      wire::ClaimOperation* operation = command.add_operations();
+      operation->set_action(static_cast<wire::ClaimAction>(random() % 6));
+      operation->set_key(bytes.substr(0, 1));
+      operation->set_attempt_id(bytes.substr(0, random() % 3));
+      bytes = command.SerializeAsString();
+    }
+    REQUIRE(first.Apply(i, bytes) == second.Apply(i, bytes));
+  }
+  CHECK(first.TakeSnapshot() == second.TakeSnapshot());
+}
+
+}  // namespace
+}  // namespace yuccastair::claims
--- /dev/null
+++ b/unittests/control/claim_service_test.cc
@@ -0,0 +1,100 @@
+// Claim requests are answered after the commit, in batches.
+
+#include "claim_service.h"
+
+#include <catch2/catch.hpp>
+
+#include "fake_log.h"
+#include "yuccastair/state/table_dispatcher.h"
+
+namespace yuccastair::control {
+namespace {
+
+struct Fixture {
+  Fixture() : log(tables), service(log, table, clock) {
+    tables.Add(wire::TABLE_CLAIMS, table);
+  }
+
+  void Claim(const std::string& key, const std::string& attempt) {
+    wire::ClaimRequest request;
+    wire::ClaimOperation* operation = request.add_operations();
+    operation->set_action(wire::CLAIM_ACTION_CLAIM);
+    operation->set_key(key);
+    operation->set_attempt_id(attempt);
+    service.Handle(request, [this](const wire::ClaimReply& reply) {
+      answers.push_back(reply);
+    });
+  }
+
+  support::ManualClock clock;
+  claims::ClaimTable table;
+  state::TableDispatcher tables;
+  FakeLog log;
+  ClaimService service;
+  std::vector<wire::ClaimReply> answers;
+};
+
+TEST_CASE("a claim is answered only after its commit") {
+  Fixture fixture;
+  fixture.log.commit_at_once = false;
+  fixture.Claim("k", "a");
+  CHECK(fixture.answers.empty());
+  fixture.log.CommitAll();
+  REQUIRE(fixture.answers.size() == 1);
+  CHECK(fixture.answers[0].results(0).status() == wire::CLAIM_STATUS_GRANTED);
+}
+
+TEST_CASE("claims that come during a commit share the next command") {
+  Fixture fixture;
+  fixture.log.commit_at_once = false;
+  for (int i = 0; i < 100; ++i)
+    fixture.Claim("k" + std::to_string(i % 50), "a" + std::to_string(i));
+  CHECK(fixture.log.waiting.size() == 1);
+  fixture.log.CommitAll();
+  REQUIRE(fixture.answers.size() == 100);
+  int granted = 0;
+  for (const wire::ClaimReply& reply : fixture.answers)
+    granted += reply.results(0).status() == wire::CLAIM_STATUS_GRANTED ? 1 : 0;
+  CHECK(granted == 50);
+}
+
+TEST_CASE("a claim whose commit is uncertain is repeated without harm") {
+  Fixture fixture;
+  fixture.log.commit_at_once = false;
+  fixture.Claim("k", "a");
+  fixture.log.LoseAll(true);
+  REQUIRE(fixture.answers.size() == 1);
+  CHECK(fixture.answers[0].results_size() == 0);
+  fixture.log.commit_at_once = true;
+  fixture.Claim("k", "a");
+  CHECK(fixture.answers[1].results(0).status() == wire::CLAIM_STATUS_GRANTED);
+  fixture.Claim("k", "b");
+  CHECK(fixture.answers[2].results(0).status() ==
+        wire::CLAIM_STATUS_IN_PROGRESS);
+}
+
+TEST_CASE("a process that is not the leader answers without a result") {
+  Fixture fixture;
+  fixture.log.leader = false;
+  fixture.Claim("k", "a");
+  REQUIRE(fixture.answers.size() == 1);
+  CHECK(fixture.answers[0].results_size() == 0);
+  CHECK(fixture.answers[0].leader_address() == "127.0.0.1:1");
+}
+
+TEST_CASE("the time of commands goes on after a change of leader") {
+  Fixture fixture;
+  fixture.Claim("k1", "a");
+  fixture.clock.Advance(std::chrono::milliseconds(500));
+  fixture.Claim("k2", "b");
+  CHECK(fixture.table.time_ms() == 500);
+  fixture.log.leader = false;
+  fixture.service.Tick();
+  fixture.clock.Advance(std::chrono::milliseconds(9000));
+  fixture.log.leader = true;
+  fixture.Claim("k3", "c");
+  CHECK(fixture.table.time_ms() == 500);
+}
+
+}  // namespace
+}  // namespace yuccastair::control
--- a/unittests/node/rate_gate_test.cc
+++ b/unittests/node/rate_gate_test.cc
@@ -63,7 +63,8 @@
                    pending_.CompleteUndelivered(envelope.correlation());
                  },
              .on_tick = nullptr}),
-        gate("n1", "i1", leader_, transport_, pending_) {}
+        channel_(leader_, transport_, pending_),
+        gate("n1", "i1", channel_) {}
 
   // Repeats a request that is refused because the connection is not up yet.
   int AdmittedOf(const std::string& organisation, int requests) {
@@ -79,6 +80,7 @@
   LeaderHint leader_;
   wire::PendingCalls pending_;
   wire::Transport transport_;
+  LeaderChannel channel_;
 
  public:
   RateGate gate;
