Keep requests that crash targets from reaching more than two

Cause: a request that crashes its target was sent on, and again with each resend of its caller.

Change: a replicated table of fingerprints (organisation, route, method, path, body). After one target the request needs a permit of the leader, which one attempt holds at a time and which allows one target; after two it is blocked until its time is over. Nodes get the list as changes since their version with the sync reply.

Still open: sendings that are under way when the first target crashes, and those of nodes that have not synced since; each may crash one more target. A target that listens again within the moment between the broken connection and the probe is not seen as gone. A permit whose attempt ended as unknown stays taken until the fingerprint expires.

--- a/include/yuccastair/claims/claim_table.h
+++ b/include/yuccastair/claims/claim_table.h
@@ -39,6 +39,11 @@
 
   ClaimTable() = default;
   explicit ClaimTable(const Limits& limits) : limits_(limits) {}
+  // The indexes hold iterators, which a copy would share.
+  ClaimTable(const ClaimTable&) = delete;
+  ClaimTable& operator=(const ClaimTable&) = delete;
+  ClaimTable(ClaimTable&&) = default;
+  ClaimTable& operator=(ClaimTable&&) = default;
 
   std::string Apply(std::uint64_t index, const std::string& command) override;
   std::string TakeSnapshot() const override;
--- a/lib/control/control.cc
+++ b/lib/control/control.cc
@@ -10,10 +10,12 @@
 #include <variant>
 
 #include "claim_service.h"
+#include "crash_service.h"
 #include "operator_api.h"
 #include "rate_service.h"
 #include "settings_sync.h"
 #include "yuccastair/claims/claim_table.h"
+#include "yuccastair/claims/fingerprint_table.h"
 #include "yuccastair/control/single_process_log.h"
 #include "yuccastair/http/server.h"
 #include "yuccastair/membership/registry.h"
@@ -57,6 +59,7 @@
         settings_sync_(settings_table_, log_, clock_),
         rate_service_(log_, clock_, Limits()),
         claim_service_(log_, claim_table_, clock_),
+        crash_service_(log_, fingerprint_table_, clock_),
         events_(kEventRingCapacity),
         operator_api_(OperatorOptions(),
                       {log_, settings_table_, settings_sync_},
@@ -67,6 +70,7 @@
     tables_.Add(wire::TABLE_SETTINGS, settings_table_);
     tables_.Add(wire::TABLE_RATES, ledger_record_);
     tables_.Add(wire::TABLE_CLAIMS, claim_table_);
+    tables_.Add(wire::TABLE_FINGERPRINTS, fingerprint_table_);
     core_ = std::thread([this] { Run(); });
     operator_server_.emplace(OperatorServerOptions());
     support::LogInfo("control.started",
@@ -135,6 +139,7 @@
       registry_.RemoveExpired();
       rate_service_.Tick();
       claim_service_.Tick();
+      crash_service_.Tick();
     }
   }
 
@@ -171,12 +176,24 @@
           });
       return;
     }
+    if (request.envelope.has_crash_report()) {
+      crash_service_.Handle(
+          request.envelope.crash_report(),
+          [this, route = request.route, answer = std::move(answer)](
+              const wire::CrashReportReply& reply) mutable {
+            *answer.mutable_crash_report_reply() = reply;
+            transport_.Reply(route, std::move(answer));
+          });
+      return;
+    }
     if (!request.envelope.has_sync_request())
       return;
     const wire::SyncRequest& sync = request.envelope.sync_request();
     registry_.Report(sync.self());
     wire::SyncReply* reply = answer.mutable_sync_reply();
     settings_sync_.Fill(sync, *reply);
+    fingerprint_table_.FillUpdate(sync.fingerprint_version(),
+                                  *reply->mutable_fingerprints());
     for (const wire::FollowedService& followed : sync.followed())
       registry_.FillReply(followed.service(), followed.revision(), *reply);
     transport_.Reply(request.route, std::move(answer));
@@ -189,11 +206,13 @@
   state::SettingsMachine settings_table_;
   rates::LedgerRecord ledger_record_;
   claims::ClaimTable claim_table_;
+  claims::FingerprintTable fingerprint_table_;
   state::TableDispatcher tables_;
   SingleProcessLog log_;
   SettingsSync settings_sync_;
   RateService rate_service_;
   ClaimService claim_service_;
+  CrashService crash_service_;
   support::BoundedRing<CoreEvent> events_;
   OperatorApi operator_api_;
   wire::Transport transport_;
--- a/lib/node/claim_gate.cc
+++ b/lib/node/claim_gate.cc
@@ -2,12 +2,11 @@
 
 #include "claim_gate.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <utility>
 
 #include "call_reply.h"
+#include "request_hash.h"
 #include "yuccastair/support/id.h"
 #include "yuccastair/support/log.h"
 
@@ -37,17 +36,6 @@
 constexpr int kBadRequest = 400;
 constexpr int kConflict = 409;
 
-void AppendPart(std::string& text, const std::string& part) {
-  text += std::to_string(part.size()) + ':' + part;
-}
-
-std::string Hash(const std::string& text) {
-  const XXH128_hash_t hash = XXH3_128bits(text.data(), text.size());
-  XXH128_canonical_t bytes;
-  XXH128_canonicalFromHash(&bytes, hash);
-  return {std::begin(bytes.digest), std::end(bytes.digest)};
-}
-
 wire::ClaimOperation NewClaim(const wire::CallRequest& call,
                               const std::string& idempotency_key) {
   wire::ClaimOperation claim;
@@ -58,11 +46,7 @@
   key += idempotency_key;
   claim.set_key(key);
   claim.set_attempt_id(support::RandomId());
-  std::string content;
-  AppendPart(content, call.method());
-  AppendPart(content, call.path());
-  content += call.body();
-  claim.set_body_hash(Hash(content));
+  claim.set_body_hash(ContentHash(call));
   return claim;
 }
 
--- a/lib/node/entry.cc
+++ b/lib/node/entry.cc
@@ -136,17 +136,32 @@
                                support::TimePoint deadline,
                                const std::function<bool()>& caller_gone) {
   if (call.idempotent() || idempotency_key.empty())
-    return duties_.forwarder.Forward(call, deadline, caller_gone);
+    return RunGuarded(call, deadline, caller_gone);
   ClaimGate::Claim claim =
       duties_.claims.Begin(call, idempotency_key, deadline);
   if (claim.reply)
     return *std::move(claim.reply);
-  wire::CallReply reply =
-      duties_.forwarder.Forward(call, deadline, caller_gone);
+  wire::CallReply reply = RunGuarded(call, deadline, caller_gone);
   duties_.claims.Finish(claim, reply);
   return reply;
 }
 
+wire::CallReply Entry::RunGuarded(const wire::CallRequest& call,
+                                  support::TimePoint deadline,
+                                  const std::function<bool()>& caller_gone) {
+  CrashGuard::Sending sending = duties_.crashes.Begin(call, deadline);
+  if (sending.refusal)
+    return *std::move(sending.refusal);
+  wire::CallRequest sent = call;
+  // A permit is for one target.
+  if (!sending.permit.empty() && sent.attempt_budget() > 1)
+    sent.set_attempt_budget(1);
+  wire::CallReply reply =
+      duties_.forwarder.Forward(std::move(sent), deadline, caller_gone);
+  duties_.crashes.Finish(sending, reply);
+  return reply;
+}
+
 http::Response Entry::HandleTarget(const http::Request& request) {
   if (request.path == kAnnouncePath)
     return HandleAnnouncement(request);
--- a/lib/node/entry.h
+++ b/lib/node/entry.h
@@ -8,6 +8,7 @@
 
 #include "authoriser.h"
 #include "claim_gate.h"
+#include "crash_guard.h"
 #include "forwarder.h"
 #include "observer.h"
 #include "rate_gate.h"
@@ -26,6 +27,7 @@
     Authoriser& authoriser;
     RateGate& rates;
     ClaimGate& claims;
+    CrashGuard& crashes;
     Forwarder& forwarder;
     RunningCalls& running;
     TargetSide& target;
@@ -55,6 +57,10 @@
                           const std::string& idempotency_key,
                           support::TimePoint deadline,
                           const std::function<bool()>& caller_gone);
+  /// Forwards a call unless it is known to crash targets.
+  wire::CallReply RunGuarded(const wire::CallRequest& call,
+                             support::TimePoint deadline,
+                             const std::function<bool()>& caller_gone);
 
   const Settings& settings_;
   const Duties duties_;
--- a/lib/node/forwarder.cc
+++ b/lib/node/forwarder.cc
@@ -27,6 +27,9 @@
 bool MayRetry(const wire::CallRequest& call, const wire::CallReply& reply) {
   if (reply.outcome() == wire::OUTCOME_OK || reply.service_overloaded())
     return false;
+  // The crash is reported before the request reaches another target.
+  if (!reply.crashed_target().empty())
+    return false;
   return call.idempotent() || reply.outcome() == wire::OUTCOME_NOT_RUN;
 }
 
--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -73,17 +73,18 @@
         observer_(settings_),
         target_(settings_.target_workers, running_),
         transport_(TransportOptions(), TransportHandlers()),
+        leader_channel_(leader_, transport_, pending_),
+        crashes_(leader_channel_),
         sync_(SyncOptions(), transport_, pending_),
         forwarder_(fleet_, transport_, pending_, [this] { sync_.Wake(); }),
         authoriser_(shared_settings_,
                     clock_,
                     [this] { return sync_.fresh_at(); }),
-        leader_channel_(leader_, transport_, pending_),
         rates_(settings_.id, incarnation_, leader_channel_),
         claims_(leader_channel_),
         entry_(settings_,
-               {authoriser_, rates_, claims_, forwarder_, running_, target_,
-                observer_}),
+               {authoriser_, rates_, claims_, crashes_, forwarder_, running_,
+                target_, observer_}),
         target_server_(TargetServerOptions()),
         caller_server_(CallerServerOptions()) {
     support::LogInfo("node.started",
@@ -175,6 +176,7 @@
                 [this](const wire::SyncReply& reply) {
                   fleet_.Apply(reply);
                   leader_.Set(reply.leader_address());
+                  crashes_.Apply(reply.fingerprints());
                   return shared_settings_.Apply(reply);
                 }};
   }
@@ -193,6 +195,7 @@
     if (leaving_)
       self->set_state(wire::TARGET_STATE_LEAVING);
     request.set_settings_version(shared_settings_.VersionToReport());
+    request.set_fingerprint_version(crashes_.version());
     fleet_.FillRequest(request);
   }
 
@@ -237,10 +240,11 @@
   FleetView fleet_;
   TargetSide target_;
   wire::Transport transport_;
+  LeaderChannel leader_channel_;
+  CrashGuard crashes_;
   SyncClient sync_;
   Forwarder forwarder_;
   Authoriser authoriser_;
-  LeaderChannel leader_channel_;
   RateGate rates_;
   ClaimGate claims_;
   Entry entry_;
--- /dev/null
+++ b/lib/node/request_hash.h
@@ -0,0 +1,23 @@
+// Hashes by which requests are recognised across nodes.
+
+#ifndef YUCCASTAIR_LIB_NODE_REQUEST_HASH_H_
+#define YUCCASTAIR_LIB_NODE_REQUEST_HASH_H_
+
+#include <string>
+
+#include "envelope.pb.h"
+
+namespace yuccastair::node {
+
+/// Appends a part of a key such that different parts never give equal keys.
+void AppendPart(std::string& text, const std::string& part);
+
+/// Returns the 16-byte hash of method, path and body.
+std::string ContentHash(const wire::CallRequest& call);
+
+/// Returns the 16-byte hash of organisation, route, method, path and body.
+std::string Fingerprint(const wire::CallRequest& call);
+
+}  // namespace yuccastair::node
+
+#endif  // YUCCASTAIR_LIB_NODE_REQUEST_HASH_H_
--- a/lib/node/target_side.cc
+++ b/lib/node/target_side.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "call_reply.h"
+#include "process_probe.h"
 #include "yuccastair/support/id.h"
 
 namespace yuccastair::node {
@@ -152,6 +153,10 @@
       break;
     case http::ExchangeResult::kBroken:
       reply = Unknown("target", exchange.error);
+      if (const auto target = announcement();
+          target && IsProcessGone(target->address))
+        reply.set_crashed_target(target->address.ToString() + '/' +
+                                 target->incarnation);
       break;
     case http::ExchangeResult::kTimedOut:
       reply = Unknown("target", exchange.error, 504);
--- /dev/null
+++ b/unittests/claims/fingerprint_table_test.cc
@@ -0,0 +1,143 @@
+// A request that crashes targets reaches at most two of them once it has been
+// reported, and the list that nodes hold follows the table.
+
+#include "yuccastair/claims/fingerprint_table.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+#include <set>
+
+namespace yuccastair::claims {
+namespace {
+
+using std::chrono::milliseconds;
+
+wire::CrashStatus Apply(FingerprintTable& table,
+                        wire::CrashAction action,
+                        const std::string& fingerprint,
+                        const std::string& who,
+                        std::uint64_t time_ms = 1) {
+  wire::CrashCommand command;
+  command.set_time_ms(time_ms);
+  wire::CrashOperation* operation = command.add_operations();
+  operation->set_action(action);
+  operation->set_fingerprint(fingerprint);
+  if (action == wire::CRASH_ACTION_REPORT)
+    operation->set_target(who);
+  else
+    operation->set_attempt_id(who);
+  wire::CrashResults results;
+  REQUIRE(results.ParseFromString(table.Apply(1, command.SerializeAsString())));
+  REQUIRE(results.statuses_size() == 1);
+  return results.statuses(0);
+}
+
+constexpr auto kReport = wire::CRASH_ACTION_REPORT;
+constexpr auto kPermit = wire::CRASH_ACTION_PERMIT;
+constexpr auto kReturn = wire::CRASH_ACTION_RETURN;
+
+TEST_CASE("only distinct targets count") {
+  FingerprintTable table;
+  CHECK(Apply(table, kReport, "f", "t1") == wire::CRASH_STATUS_SUSPECT);
+  CHECK(Apply(table, kReport, "f", "t1") == wire::CRASH_STATUS_SUSPECT);
+  CHECK(Apply(table, kReport, "f", "t2") == wire::CRASH_STATUS_BLOCKED);
+  CHECK(Apply(table, kPermit, "f", "a") == wire::CRASH_STATUS_BLOCKED);
+}
+
+TEST_CASE("one attempt at a time may send a suspect request") {
+  FingerprintTable table;
+  CHECK(Apply(table, kPermit, "f", "a") == wire::CRASH_STATUS_CLEAR);
+  Apply(table, kReport, "f", "t1");
+  CHECK(Apply(table, kPermit, "f", "a") == wire::CRASH_STATUS_PERMITTED);
+  CHECK(Apply(table, kPermit, "f", "a") == wire::CRASH_STATUS_PERMITTED);
+  CHECK(Apply(table, kPermit, "f", "b") == wire::CRASH_STATUS_SUSPECT);
+  // A late return of another attempt frees nothing.
+  Apply(table, kReturn, "f", "b");
+  CHECK(Apply(table, kPermit, "f", "b") == wire::CRASH_STATUS_SUSPECT);
+  Apply(table, kReturn, "f", "a");
+  CHECK(Apply(table, kPermit, "f", "b") == wire::CRASH_STATUS_PERMITTED);
+}
+
+TEST_CASE("a fingerprint is forgotten after its time and no earlier") {
+  FingerprintTable table({.retention = milliseconds(1000)});
+  Apply(table, kReport, "f", "t1", 100);
+  Apply(table, kReport, "f", "t2", 200);
+  CHECK(Apply(table, kPermit, "f", "a", 1199) == wire::CRASH_STATUS_BLOCKED);
+  CHECK(Apply(table, kPermit, "f", "a", 1200) == wire::CRASH_STATUS_CLEAR);
+}
+
+TEST_CASE("a full table refuses new fingerprints and keeps the others") {
+  FingerprintTable table({.fingerprints = 1});
+  Apply(table, kReport, "f", "t1");
+  CHECK(Apply(table, kReport, "g", "t1") == wire::CRASH_STATUS_FULL);
+  CHECK(Apply(table, kReport, "f", "t2") == wire::CRASH_STATUS_BLOCKED);
+}
+
+// The list as a node holds it.
+struct NodeList {
+  void Follow(const FingerprintTable& table) {
+    wire::FingerprintUpdate update;
+    table.FillUpdate(version, update);
+    if (update.full()) {
+      suspects.clear();
+      blocked.clear();
+    }
+    for (const std::string& hash : update.removed()) {
+      suspects.erase(hash);
+      blocked.erase(hash);
+    }
+    // A blocked one may have expired and become suspect anew.
+    for (const std::string& hash : update.suspects()) {
+      blocked.erase(hash);
+      suspects.insert(hash);
+    }
+    for (const std::string& hash : update.blocked()) {
+      suspects.erase(hash);
+      blocked.insert(hash);
+    }
+    version = update.version();
+  }
+
+  std::uint64_t version = 0;
+  std::set<std::string> suspects;
+  std::set<std::string> blocked;
+};
+
+TEST_CASE("updates since any version lead to the whole list") {
+  std::mt19937 random(1);
+  FingerprintTable table({.retention = milliseconds(300), .changes = 20});
+  std::vector<NodeList> nodes(5);
+  for (int t = 0; t < 5000; ++t) {
+    Apply(table, kReport, "f" + std::to_string(random() % 20),
+          "t" + std::to_string(random() % 5), t * 5);
+    if (random() % 500 == 0) {
+      FingerprintTable other({.retention = milliseconds(300), .changes = 20});
+      other.RestoreSnapshot(table.TakeSnapshot());
+      table = FingerprintTable({.retention = milliseconds(300), .changes = 20});
+      table.RestoreSnapshot(other.TakeSnapshot());
+    }
+    NodeList& node = nodes[random() % nodes.size()];
+    if (random() % 4 != 0)
+      continue;
+    node.Follow(table);
+    NodeList fresh;
+    fresh.Follow(table);
+    REQUIRE(node.suspects == fresh.suspects);
+    REQUIRE(node.blocked == fresh.blocked);
+  }
+}
+
+TEST_CASE("random commands never crash") {
+  std::mt19937 random(1);
+  FingerprintTable table;
+  for (int i = 0; i < 20000; ++i) {
+    std::string bytes(random() % 48, '\0');
+    for (char& byte : bytes)
+      byte = static_cast<char>(random() % 4 == 0 ? random() : random() % 40);
+    table.Apply(i, bytes);
+  }
+  CHECK_THROWS(table.RestoreSnapshot("\xff\xff"));
+}
+
+}  // namespace
+}  // namespace yuccastair::claims
