Exchange membership between control processes and send nodes the changes

Cause: each control process knew only the nodes at home there, every change sent a whole list, and each reply scanned all entries.

Change: members are indexed by service with a bounded list of changes; a node gets the changes since its revision, or the whole list when that is too old. Reports carry start time and number, so that an earlier incarnation, an overtaken report or a repeated one changes nothing. A control process that has started less than the expiry ago sends what it knows without removing anything at nodes or peers. Leaving and down members and those of zones out of service are not offered. The fleet view keeps the last members and states their age.

membership_registry_test: the first case now lets the start period pass, because a reply before that does not claim to be complete.

Tests: membership_registry_merge_test (40 seeds of lost, late and repeated messages).

--- a/lib/control/control.cc
+++ b/lib/control/control.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <functional>
 #include <optional>
+#include <set>
 #include <thread>
 #include <utility>
 #include <variant>
@@ -14,6 +15,7 @@
 #include "operator_api.h"
 #include "rate_service.h"
 #include "settings_sync.h"
+#include "sync_service.h"
 #include "yuccastair/claims/claim_table.h"
 #include "yuccastair/claims/fingerprint_table.h"
 #include "yuccastair/control/single_process_log.h"
@@ -39,8 +41,13 @@
   wire::Envelope envelope;
 };
 
+struct PeerAnswer {
+  std::string address;
+  wire::Envelope envelope;
+};
+
 /// What the core thread takes from its ring.
-using CoreEvent = std::variant<PeerRequest, std::function<void()>>;
+using CoreEvent = std::variant<PeerRequest, PeerAnswer, std::function<void()>>;
 
 std::int64_t WallClockMs() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -60,6 +67,7 @@
         rate_service_(log_, clock_, Limits()),
         claim_service_(log_, claim_table_, clock_),
         crash_service_(log_, fingerprint_table_, clock_),
+        sync_service_(SyncOptions(), registry_, clock_),
         events_(kEventRingCapacity),
         operator_api_(OperatorOptions(),
                       {log_, settings_table_, settings_sync_},
@@ -97,11 +105,36 @@
                 [this](const wire::ReplyRoute& route, wire::Envelope envelope) {
                   events_.TryPush(PeerRequest{route, std::move(envelope)});
                 },
-            .on_answer = nullptr,
+            .on_answer =
+                [this](const std::string& address, wire::Envelope envelope) {
+                  events_.TryPush(PeerAnswer{address, std::move(envelope)});
+                },
             .on_undelivered = nullptr,
             .on_tick = nullptr};
   }
 
+  SyncService::Options SyncOptions() {
+    SyncService::Options options;
+    for (const support::Address& peer : settings_.peers) {
+      if (peer != settings_.peer_listen)
+        options.peers.push_back(peer.ToString());
+    }
+    options.send_pull = [this](const std::string& peer, std::uint64_t number,
+                               const wire::MembershipPull& pull) {
+      wire::Envelope envelope;
+      envelope.set_correlation(number);
+      *envelope.mutable_membership_pull() = pull;
+      transport_.Send(peer, std::move(envelope));
+    };
+    options.fill = [this](const wire::SyncRequest& sync,
+                          wire::SyncReply& reply) {
+      settings_sync_.Fill(sync, reply);
+      fingerprint_table_.FillUpdate(sync.fingerprint_version(),
+                                    *reply.mutable_fingerprints());
+    };
+    return options;
+  }
+
   OperatorApi::Options OperatorOptions() {
     OperatorApi::Options options;
     options.id = settings_.id;
@@ -136,7 +169,8 @@
     while (!events_.closed()) {
       if (auto event = events_.Pop(kCoreTick))
         std::visit([this](auto& held) { Handle(held); }, *event);
-      registry_.RemoveExpired();
+      FollowZones();
+      sync_service_.Tick();
       rate_service_.Tick();
       claim_service_.Tick();
       crash_service_.Tick();
@@ -186,19 +220,40 @@
           });
       return;
     }
+    if (request.envelope.has_membership_pull()) {
+      *answer.mutable_membership_delta() =
+          sync_service_.Handle(request.envelope.membership_pull());
+      transport_.Reply(request.route, std::move(answer));
+      return;
+    }
     if (!request.envelope.has_sync_request())
       return;
-    const wire::SyncRequest& sync = request.envelope.sync_request();
-    registry_.Report(sync.self());
-    wire::SyncReply* reply = answer.mutable_sync_reply();
-    settings_sync_.Fill(sync, *reply);
-    fingerprint_table_.FillUpdate(sync.fingerprint_version(),
-                                  *reply->mutable_fingerprints());
-    for (const wire::FollowedService& followed : sync.followed())
-      registry_.FillReply(followed.service(), followed.revision(), *reply);
+    *answer.mutable_sync_reply() =
+        sync_service_.Handle(request.envelope.sync_request());
     transport_.Reply(request.route, std::move(answer));
   }
 
+  void Handle(const PeerAnswer& answer) {
+    if (answer.envelope.has_membership_delta())
+      sync_service_.HandleDelta(answer.address, answer.envelope.correlation(),
+                                answer.envelope.membership_delta());
+  }
+
+  /// Follows the zones that operators have taken out of service.
+  void FollowZones() {
+    if (settings_table_.version() == zones_version_)
+      return;
+    zones_version_ = settings_table_.version();
+    std::set<std::string> zones;
+    const auto& entries = settings_table_.tree().entries();
+    for (auto it = entries.lower_bound("zone/"); it != entries.end(); ++it) {
+      if (!it->second.has_zone_out())
+        break;
+      zones.insert(it->second.zone_out().name());
+    }
+    registry_.SetZonesOut(zones);
+  }
+
   const Settings settings_;
   const support::SteadyClock clock_;
   // Owned by the core thread.
@@ -213,6 +268,8 @@
   RateService rate_service_;
   ClaimService claim_service_;
   CrashService crash_service_;
+  SyncService sync_service_;
+  std::uint64_t zones_version_ = 0;
   support::BoundedRing<CoreEvent> events_;
   OperatorApi operator_api_;
   wire::Transport transport_;
--- /dev/null
+++ b/lib/control/sync_service.cc
@@ -0,0 +1,56 @@
+// Sync replies and membership pulls.
+
+#include "sync_service.h"
+
+#include <utility>
+
+namespace yuccastair::control {
+
+SyncService::SyncService(Options options,
+                         membership::Registry& registry,
+                         const support::Clock& clock)
+    : options_(std::move(options)), registry_(registry), clock_(clock) {
+  for (const std::string& peer : options_.peers)
+    peers_[peer];
+}
+
+wire::SyncReply SyncService::Handle(const wire::SyncRequest& request) {
+  wire::SyncReply reply;
+  // A message without a sender says nothing about any node.
+  if (!request.self().node_id().empty())
+    registry_.Report(request.self());
+  if (options_.fill)
+    options_.fill(request, reply);
+  for (const wire::FollowedService& followed : request.followed())
+    registry_.FillReply(followed.service(), followed.revision(), reply);
+  return reply;
+}
+
+void SyncService::Pull(const std::string& name, Peer& peer) {
+  peer.pull_number = next_number_++;
+  peer.pulled_at = clock_.Now();
+  options_.send_pull(name, peer.pull_number, registry_.PullFor(name));
+}
+
+void SyncService::HandleDelta(const std::string& name,
+                              std::uint64_t number,
+                              const wire::MembershipDelta& delta) {
+  const auto found = peers_.find(name);
+  if (found == peers_.end() || number == 0 ||
+      found->second.pull_number != number)
+    return;
+  // A second answer to the same pull is ignored.
+  found->second.pull_number = 0;
+  if (registry_.ApplyDelta(name, delta))
+    Pull(name, found->second);
+}
+
+void SyncService::Tick() {
+  registry_.RemoveExpired();
+  for (auto& [name, peer] : peers_) {
+    if (clock_.Now() - peer.pulled_at >= kPullInterval)
+      Pull(name, peer);
+  }
+}
+
+}  // namespace yuccastair::control
--- /dev/null
+++ b/lib/control/sync_service.h
@@ -0,0 +1,72 @@
+// Answers nodes and exchanges membership with the other control processes.
+
+#ifndef YUCCASTAIR_LIB_CONTROL_SYNC_SERVICE_H_
+#define YUCCASTAIR_LIB_CONTROL_SYNC_SERVICE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "sync.pb.h"
+#include "yuccastair/membership/registry.h"
+#include "yuccastair/support/clock.h"
+
+namespace yuccastair::control {
+
+/// Used on the core thread.
+class SyncService {
+ public:
+  /// How often each other control process is asked for its changes.
+  static constexpr std::chrono::milliseconds kPullInterval{200};
+
+  struct Options {
+    /// Addresses of the other control processes.
+    std::vector<std::string> peers;
+    /// Sends a pull; its answer comes to HandleDelta() with the same number.
+    std::function<void(const std::string& peer,
+                       std::uint64_t number,
+                       const wire::MembershipPull& pull)>
+        send_pull;
+    /// Fills the parts of a reply that do not concern membership.
+    std::function<void(const wire::SyncRequest&, wire::SyncReply&)> fill;
+  };
+
+  SyncService(Options options,
+              membership::Registry& registry,
+              const support::Clock& clock);
+
+  wire::SyncReply Handle(const wire::SyncRequest& request);
+  wire::MembershipDelta Handle(const wire::MembershipPull& pull) const {
+    return registry_.AnswerPull(pull);
+  }
+
+  /// Applies the answer to the latest pull; an answer to an earlier one is
+  /// ignored.
+  void HandleDelta(const std::string& peer,
+                   std::uint64_t number,
+                   const wire::MembershipDelta& delta);
+
+  /// Expires members and sends pulls that are due.
+  void Tick();
+
+ private:
+  struct Peer {
+    std::uint64_t pull_number = 0;
+    support::TimePoint pulled_at;
+  };
+
+  void Pull(const std::string& name, Peer& peer);
+
+  const Options options_;
+  membership::Registry& registry_;
+  const support::Clock& clock_;
+  std::uint64_t next_number_ = 1;
+  std::map<std::string, Peer> peers_;
+};
+
+}  // namespace yuccastair::control
+
+#endif  // YUCCASTAIR_LIB_CONTROL_SYNC_SERVICE_H_
--- a/lib/node/fleet_view.cc
+++ b/lib/node/fleet_view.cc
@@ -25,28 +25,47 @@
 
 void FleetView::Apply(const wire::SyncReply& reply) {
   std::lock_guard lock(mutex_);
+  applied_at_ = clock_.Now();
   for (const wire::ServiceMembers& report : reply.services()) {
     const auto found = services_.find(report.service());
-    if (found == services_.end())
-      continue;
-    Service& service = found->second;
-    if (report.full())
-      service.members.clear();
-    for (const wire::Member& member : report.members())
-      service.members[member.node_id()] = member;
-    for (const std::string& node_id : report.removed_node_ids())
-      service.members.erase(node_id);
-    service.revision = report.revision();
+    if (found != services_.end())
+      ApplyTo(found->second, report);
   }
 }
 
+void FleetView::ApplyTo(Service& service, const wire::ServiceMembers& report) {
+  const bool partial = !report.full() && report.from_revision() == 0;
+  if (!report.full() && !partial &&
+      report.from_revision() != service.revision) {
+    service.revision = 0;
+    return;
+  }
+  if (report.full())
+    service.members.clear();
+  for (const wire::Member& member : report.members())
+    service.members[member.node_id()] = member;
+  for (const std::string& node_id : report.removed_node_ids())
+    service.members.erase(node_id);
+  service.reported = true;
+  // What a control process that has just started knows is no state from which
+  // changes could continue.
+  service.revision = partial ? 0 : report.revision();
+}
+
 bool FleetView::HasUnknownService() const {
   std::lock_guard lock(mutex_);
   for (const auto& [name, service] : services_) {
-    if (service.revision == 0)
+    if (!service.reported)
       return true;
   }
   return false;
 }
 
+std::optional<support::Duration> FleetView::Age() const {
+  std::lock_guard lock(mutex_);
+  if (!applied_at_)
+    return std::nullopt;
+  return clock_.Now() - *applied_at_;
+}
+
 }  // namespace yuccastair::node
--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -47,6 +47,13 @@
   return texts;
 }
 
+std::uint64_t WallClockMs() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
 /// Hands the target the span of its own node as the parent of its spans.
 void ReplaceTraceparent(const observe::TraceContext& context,
                         wire::CallRequest& call) {
@@ -69,6 +76,7 @@
   explicit Impl(Settings settings)
       : settings_(std::move(settings)),
         incarnation_(support::RandomId()),
+        started_ms_(WallClockMs()),
         leader_(ToStrings(settings_.controls)),
         observer_(settings_),
         target_(settings_.target_workers, running_),
@@ -181,10 +189,12 @@
                 }};
   }
 
-  void FillSync(wire::SyncRequest& request) const {
+  void FillSync(wire::SyncRequest& request) {
     wire::Member* self = request.mutable_self();
     self->set_node_id(settings_.id);
     self->set_incarnation(incarnation_);
+    self->set_started_ms(started_ms_);
+    self->set_sequence(++reports_);
     self->set_availability_zone(settings_.availability_zone);
     self->set_address(settings_.peer_listen.ToString());
     self->set_state(wire::TARGET_STATE_DOWN);
@@ -231,6 +241,9 @@
   const Settings settings_;
   const support::SteadyClock clock_;
   const std::string incarnation_;
+  const std::uint64_t started_ms_;
+  // Used by the sync thread alone.
+  std::uint64_t reports_ = 0;
   SettingsView shared_settings_;
   std::atomic<bool> leaving_ = false;
   LeaderHint leader_;
--- /dev/null
+++ b/unittests/membership/registry_merge_test.cc
@@ -0,0 +1,294 @@
+// Several control processes agree on the members, whatever order, loss and
+// repetition their messages suffer, and drop no live member.
+
+#include <catch2/catch.hpp>
+#include <random>
+#include <set>
+
+#include "yuccastair/membership/registry.h"
+
+namespace yuccastair::membership {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kExpiry{3000};
+
+wire::Member MakeMember(const std::string& id,
+                        std::uint64_t started,
+                        std::uint64_t sequence) {
+  wire::Member member;
+  member.set_node_id(id);
+  member.set_incarnation(std::to_string(started));
+  member.set_started_ms(started);
+  member.set_sequence(sequence);
+  member.set_service("orders");
+  member.set_availability_zone("mids-a");
+  member.set_address("127.0.0.1:1");
+  member.set_state(wire::TARGET_STATE_UP);
+  return member;
+}
+
+// The view of a node that follows "orders".
+struct View {
+  void Follow(const Registry& registry) {
+    wire::SyncReply reply;
+    registry.FillReply("orders", revision, reply);
+    for (const wire::ServiceMembers& report : reply.services()) {
+      if (report.full())
+        members.clear();
+      else if (report.from_revision() != 0)
+        REQUIRE(report.from_revision() == revision);
+      for (const wire::Member& member : report.members())
+        members[member.node_id()] = member;
+      for (const std::string& id : report.removed_node_ids())
+        members.erase(id);
+      revision = report.revision();
+    }
+  }
+
+  std::uint64_t revision = 0;
+  std::map<std::string, wire::Member> members;
+};
+
+View Whole(const Registry& registry) {
+  View view;
+  view.Follow(registry);
+  return view;
+}
+
+void PullAll(Registry& to, const Registry& from) {
+  while (to.ApplyDelta("peer", from.AnswerPull(to.PullFor("peer")))) {
+  }
+}
+
+TEST_CASE("a late report of an earlier incarnation overrides nothing") {
+  support::ManualClock clock;
+  Registry registry(clock, kExpiry);
+  registry.Report(MakeMember("a", 200, 1));
+  registry.Report(MakeMember("a", 100, 50));
+  CHECK(Whole(registry).members.at("a").incarnation() == "200");
+}
+
+TEST_CASE("an overtaken report of the same incarnation overrides nothing") {
+  support::ManualClock clock;
+  Registry registry(clock, kExpiry);
+  wire::Member leaving = MakeMember("a", 100, 9);
+  leaving.set_state(wire::TARGET_STATE_LEAVING);
+  registry.Report(MakeMember("a", 100, 7));
+  registry.Report(leaving);
+  registry.Report(MakeMember("a", 100, 8));
+  CHECK(Whole(registry).members.empty());
+}
+
+TEST_CASE("a repeated report does not keep a dead node alive") {
+  support::ManualClock clock;
+  Registry registry(clock, kExpiry);
+  registry.Report(MakeMember("a", 100, 7));
+  clock.Advance(milliseconds(2000));
+  registry.Report(MakeMember("a", 100, 7));
+  clock.Advance(milliseconds(1000));
+  registry.RemoveExpired();
+  CHECK(registry.size() == 0);
+}
+
+TEST_CASE("changes reach a node without the whole list") {
+  support::ManualClock clock;
+  Registry registry(clock, kExpiry);
+  clock.Advance(kExpiry);
+  for (int i = 0; i < 50; ++i)
+    registry.Report(MakeMember("n" + std::to_string(i), 1, 1));
+  View view = Whole(registry);
+  wire::Member draining = MakeMember("n7", 1, 2);
+  draining.set_state(wire::TARGET_STATE_DRAINING);
+  registry.Report(draining);
+  wire::SyncReply reply;
+  registry.FillReply("orders", view.revision, reply);
+  REQUIRE(reply.services_size() == 1);
+  CHECK(!reply.services(0).full());
+  CHECK(reply.services(0).members_size() == 1);
+  view.Follow(registry);
+  CHECK(view.members.at("n7").state() == wire::TARGET_STATE_DRAINING);
+  // Too many changes lead to the whole list.
+  for (int round = 3; round < 10; ++round) {
+    for (int i = 0; i < 50; ++i) {
+      wire::Member member = MakeMember("n" + std::to_string(i), 1, round);
+      member.set_address("127.0.0.1:" + std::to_string(round));
+      registry.Report(member);
+    }
+  }
+  view.Follow(registry);
+  CHECK(view.members.at("n7").address() == "127.0.0.1:9");
+}
+
+TEST_CASE("a control process that has just started removes no live member") {
+  support::ManualClock clock;
+  Registry old(clock, kExpiry);
+  clock.Advance(kExpiry);
+  old.Report(MakeMember("a", 1, 1));
+  old.Report(MakeMember("b", 1, 1));
+  View view = Whole(old);
+  Registry fresh(clock, kExpiry);
+  fresh.Report(MakeMember("a", 1, 2));
+  view.Follow(fresh);
+  CHECK(view.members.size() == 2);
+  clock.Advance(milliseconds(2900));
+  fresh.Report(MakeMember("a", 1, 3));
+  view.Follow(fresh);
+  CHECK(view.members.size() == 2);
+  // "b" had the time to report and did not.
+  clock.Advance(milliseconds(100));
+  view.Follow(fresh);
+  CHECK(view.members.size() == 1);
+}
+
+TEST_CASE("a peer that has just started removes no live member elsewhere") {
+  support::ManualClock clock;
+  Registry home(clock, kExpiry);
+  Registry other(clock, kExpiry);
+  clock.Advance(kExpiry);
+  home.Report(MakeMember("a", 1, 1));
+  PullAll(other, home);
+  REQUIRE(other.size() == 1);
+  Registry restarted(clock, kExpiry);
+  PullAll(other, restarted);
+  CHECK(other.size() == 1);
+  clock.Advance(kExpiry);
+  PullAll(other, restarted);
+  CHECK(other.size() == 0);
+}
+
+TEST_CASE("a zone out of service is not offered, and comes back") {
+  support::ManualClock clock;
+  Registry registry(clock, kExpiry);
+  clock.Advance(kExpiry);
+  registry.Report(MakeMember("a", 1, 1));
+  View view = Whole(registry);
+  registry.SetZonesOut({"mids-a"});
+  view.Follow(registry);
+  CHECK(view.members.empty());
+  registry.SetZonesOut({});
+  view.Follow(registry);
+  CHECK(view.members.size() == 1);
+}
+
+TEST_CASE("a large home is pulled in bounded messages") {
+  support::ManualClock clock;
+  Registry home(clock, kExpiry);
+  Registry other(clock, kExpiry);
+  clock.Advance(kExpiry);
+  for (int i = 0; i < 2000; ++i)
+    home.Report(MakeMember("n" + std::to_string(i), 1, 1));
+  const auto delta = home.AnswerPull(other.PullFor("peer"));
+  CHECK(delta.more());
+  CHECK(delta.members_size() <= static_cast<int>(HomeLog::kMaxPerMessage));
+  PullAll(other, home);
+  CHECK(other.size() == 2000);
+}
+
+TEST_CASE("a silent peer's members end, unless they report elsewhere") {
+  support::ManualClock clock;
+  Registry home(clock, kExpiry);
+  Registry other(clock, kExpiry);
+  clock.Advance(kExpiry);
+  home.Report(MakeMember("a", 1, 1));
+  home.Report(MakeMember("b", 1, 1));
+  PullAll(other, home);
+  clock.Advance(milliseconds(1500));
+  other.Report(MakeMember("b", 1, 4));
+  clock.Advance(milliseconds(1500));
+  other.RemoveExpired();
+  const View view = Whole(other);
+  CHECK(view.members.size() == 1);
+  CHECK(view.members.count("b") == 1);
+}
+
+void RunRandomly(unsigned seed) {
+  std::mt19937 random(seed);
+  const auto below = [&](unsigned bound) { return random() % bound; };
+  support::ManualClock clock;
+  Registry home(clock, kExpiry);
+  Registry other(clock, kExpiry);
+  std::vector<wire::MembershipDelta> late;
+  std::vector<wire::Member> late_reports;
+  std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> nodes;
+  View view;
+  for (int step = 0; step < 1500; ++step) {
+    clock.Advance(milliseconds(10));
+    const std::string id = "n" + std::to_string(below(30));
+    if (below(50) == 0 || nodes[id].first == 0)
+      nodes[id] = {static_cast<std::uint64_t>(step) + 1, 0};
+    wire::Member member = MakeMember(id, nodes[id].first, ++nodes[id].second);
+    if (below(5) == 0)
+      member.set_state(wire::TARGET_STATE_DRAINING);
+    Registry& receiver = below(3) == 0 ? other : home;
+    if (below(4) != 0)
+      receiver.Report(member);
+    if (below(3) == 0)
+      late_reports.push_back(member);
+    if (!late_reports.empty() && below(3) == 0)
+      receiver.Report(
+          late_reports[below(static_cast<unsigned>(late_reports.size()))]);
+    late.push_back(home.AnswerPull(other.PullFor("peer")));
+    if (below(2) == 0)
+      other.ApplyDelta("peer", late.back());
+    if (below(8) == 0)
+      other.ApplyDelta("peer", late[below(static_cast<unsigned>(late.size()))]);
+    home.RemoveExpired();
+    other.RemoveExpired();
+    view.Follow(other);
+  }
+  INFO("seed " << seed);
+  // Once all are reported and pulled, both views are the live members.
+  std::set<std::string> live;
+  for (auto& [id, run] : nodes) {
+    if (run.first == 0)
+      continue;
+    live.insert(id);
+    home.Report(MakeMember(id, run.first, ++run.second));
+  }
+  PullAll(other, home);
+  view.Follow(other);
+  std::set<std::string> seen;
+  for (const auto& [id, member] : view.members) {
+    seen.insert(id);
+    CHECK(member.started_ms() == nodes[id].first);
+  }
+  CHECK(seen == live);
+}
+
+TEST_CASE("views agree after lost, late and repeated messages") {
+  for (unsigned seed = 1; seed <= 40; ++seed)
+    RunRandomly(seed);
+}
+
+TEST_CASE("random deltas and pulls never crash") {
+  std::mt19937 random(1);
+  support::ManualClock clock;
+  Registry registry(clock, kExpiry);
+  for (int i = 0; i < 20000; ++i) {
+    wire::MembershipDelta delta;
+    delta.set_epoch(random() % 3);
+    delta.set_from_sequence(random() % 4);
+    delta.set_to_sequence(random() % 6);
+    delta.set_more(random() % 2 == 0);
+    *delta.add_members() = MakeMember("n" + std::to_string(random() % 9),
+                                      random() % 3, random() % 3);
+    delta.add_removed_node_ids("n" + std::to_string(random() % 9));
+    registry.ApplyDelta("p" + std::to_string(random() % 2), delta);
+    registry.Report(MakeMember("n" + std::to_string(random() % 9), random() % 3,
+                               random() % 3));
+    wire::MembershipPull pull;
+    pull.set_epoch(random());
+    pull.set_sequence(random());
+    registry.AnswerPull(pull);
+    clock.Advance(milliseconds(random() % 400));
+    registry.RemoveExpired();
+  }
+  clock.Advance(kExpiry);
+  registry.RemoveExpired();
+  CHECK(registry.size() == 0);
+}
+
+}  // namespace
+}  // namespace yuccastair::membership
--- a/unittests/membership/registry_test.cc
+++ b/unittests/membership/registry_test.cc
@@ -22,6 +22,8 @@
 TEST_CASE("a node that knows the revision gets no members again") {
   support::ManualClock clock;
   Registry registry(clock, milliseconds(3000));
+  // Before that the registry does not claim to be complete.
+  clock.Advance(milliseconds(3000));
   registry.Report(MakeMember("a"));
   wire::SyncReply first;
   registry.FillReply("orders", 0, first);
