--- a/lib/node/entry.cc
+++ b/lib/node/entry.cc
@@ -136,12 +136,29 @@
                                support::TimePoint deadline,
                                const std::function<bool()>& caller_gone) {
   if (call.idempotent() || idempotency_key.empty())
-    return duties_.forwarder.Forward(call, deadline, caller_gone);
-  if (auto reply = duties_.claims.Begin(call, idempotency_key, deadline))
-    return *std::move(reply);
+    return RunGuarded(call, deadline, caller_gone);
+  ClaimGate::Claim claim =
+      duties_.claims.Begin(call, idempotency_key, deadline);
+  if (claim.reply)
+    return *std::move(claim.reply);
+  wire::CallReply reply = RunGuarded(call, deadline, caller_gone);
+  duties_.claims.Finish(claim, reply);
+  return reply;
+}
+
+wire::CallReply Entry::RunGuarded(const wire::CallRequest& call,
+                                  support::TimePoint deadline,
+                                  const std::function<bool()>& caller_gone) {
+  CrashGuard::Sending sending = duties_.crashes.Begin(call, deadline);
+  if (sending.refusal)
+    return *std::move(sending.refusal);
+  wire::CallRequest sent = call;
+  // A permit is for one target.
+  if (!sending.permit.empty() && sent.attempt_budget() > 1)
+    sent.set_attempt_budget(1);
   wire::CallReply reply =
-      duties_.forwarder.Forward(call, deadline, caller_gone);
-  duties_.claims.Finish(call, idempotency_key, reply);
+      duties_.forwarder.Forward(std::move(sent), deadline, caller_gone);
+  duties_.crashes.Finish(sending, reply);
   return reply;
 }
 
@@ -188,7 +205,8 @@
   const std::uint32_t extra = duties_.running.TakeAttempts(token, first);
   call.set_attempt_budget(first + extra);
   const wire::CallReply reply =
-      duties_.forwarder.Forward(call, context->deadline, request.caller_gone);
+      RunOnce(call, http::FindHeader(request.headers, kIdempotencyHeader),
+              context->deadline, request.caller_gone);
   duties_.observer.Finish(hop, context->request_id, &call, reply);
   duties_.running.ReturnAttempts(token, reply.unused_attempts());
   return ToResponse(reply, context->request_id);
