Add the admission of calls at a target's node

Nothing bounded the load of a target or decided which calls run first: the workers took calls in the order of their arrival, so a burst of unimportant calls of one organisation delayed every other call.

Adds plain classes with an injected clock: an adaptive concurrency limit, a cold ramp, a queue ordered by importance, progress, fair share and deadline, and the admission that joins them and states a reason and numbers with each decision.

A limit that only follows the ratio of latency to a baseline was ruled out: its baseline drifts up under lasting overload, and a slower dependency looks like queueing. The limit is lowered for one window instead, and whether latency follows tells the two apart.

A service time of 60% of the deadline or more under overload still loses goodput, because calls are given up in the target while queue and service time together exceed the deadline.

--- /dev/null
+++ b/include/yuccastair/admission/call_queue.h
@@ -0,0 +1,128 @@
+// The queue of calls that wait for their turn at the target.
+
+#ifndef YUCCASTAIR_ADMISSION_CALL_QUEUE_H_
+#define YUCCASTAIR_ADMISSION_CALL_QUEUE_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "call.pb.h"
+#include "yuccastair/support/clock.h"
+
+namespace yuccastair::admission {
+
+/// What admission needs to know of a call.
+struct Call {
+  /// Chosen by the caller of admission; unique among the calls it holds.
+  std::uint64_t id = 0;
+  std::string organisation;
+  std::string route;
+  wire::Importance importance = wire::IMPORTANCE_NORMAL;
+  /// 1 for a call of a caller; more for work in progress.
+  std::uint32_t depth = 1;
+  support::TimePoint deadline;
+};
+
+/// Orders calls by importance, then work in progress before new work, then
+/// fairly across organisations, then deeper calls and earlier deadlines first.
+///
+/// Fairness is start-time fair queueing within each band of importance and
+/// progress: an organisation's next call is tagged with the later of the band's
+/// virtual time and the end of its previous call, and the lowest tag goes
+/// first. Calls that start without queueing are charged as well.
+class CallQueue {
+ public:
+  /// Adds a call that waits from \p now on.
+  void Push(const Call& call, support::TimePoint now);
+
+  /// Charges a call that starts without queueing to its organisation.
+  void Charge(const Call& call);
+
+  /// Takes the call whose turn it is.
+  std::optional<Call> Pop();
+
+  /// Decides who has to go for \p arrival when the queue is full: a queued call
+  /// of the lowest band if the arrival's band is higher, or one of the
+  /// organisation with the most queued calls if that is in the same band and
+  /// the arrival's organisation has fewer. Returns nothing, and changes
+  /// nothing, if the arrival itself is the one.
+  std::optional<Call> DisplaceFor(const Call& arrival);
+
+  /// Takes a call out; returns nothing if it is not queued.
+  std::optional<Call> Remove(std::uint64_t id);
+
+  /// Takes out the calls queued at or before \p enqueued_until.
+  std::vector<Call> TakeOlderThan(support::TimePoint enqueued_until);
+
+  /// Takes out the calls of every band for which \p expired is true.
+  template <typename Predicate>
+  std::vector<Call> TakeIf(Predicate expired) {
+    std::vector<std::uint64_t> ids;
+    for (const auto& [id, entry] : entries_) {
+      if (expired(entry.call))
+        ids.push_back(id);
+    }
+    std::vector<Call> taken;
+    taken.reserve(ids.size());
+    for (const std::uint64_t id : ids)
+      taken.push_back(*Remove(id));
+    return taken;
+  }
+
+  std::size_t size() const { return entries_.size(); }
+
+ private:
+  // Order within one organisation: deepest, then earliest deadline, then
+  // oldest. The depth is negated.
+  using Key = std::tuple<std::int64_t, support::TimePoint, std::uint64_t>;
+
+  struct Entry {
+    Call call;
+    Key key;
+    support::TimePoint enqueued_at;
+    std::uint64_t sequence = 0;
+  };
+
+  struct Organisation {
+    // Call ids in the order of their turn.
+    std::map<Key, std::uint64_t> calls;
+    // Virtual time at which the previous call ends.
+    std::uint64_t finish = 0;
+    // Tag of the next call; present in Band::turns while calls is not empty.
+    std::uint64_t tag = 0;
+  };
+
+  struct Band {
+    std::unordered_map<std::string, Organisation> organisations;
+    // Organisations with queued calls by the tag of their next call.
+    std::set<std::pair<std::uint64_t, std::string>> turns;
+    std::uint64_t virtual_time = 0;
+    std::size_t size = 0;
+  };
+
+  static constexpr std::size_t kBands = 8;
+
+  static std::size_t BandOf(const Call& call);
+  static void Start(Band& band, Organisation& organisation);
+  static void Forget(Band& band);
+  void Erase(std::size_t band, const std::string& organisation, Key key);
+
+  std::array<Band, kBands> bands_;
+  std::unordered_map<std::uint64_t, Entry> entries_;
+  // Queued call ids in the order of their arrival.
+  std::map<std::uint64_t, std::uint64_t> arrivals_;
+  std::uint64_t next_sequence_ = 0;
+};
+
+}  // namespace yuccastair::admission
+
+#endif  // YUCCASTAIR_ADMISSION_CALL_QUEUE_H_
--- /dev/null
+++ b/include/yuccastair/admission/concurrency_limit.h
@@ -0,0 +1,91 @@
+// The adaptive concurrency limit of one target.
+
+#ifndef YUCCASTAIR_ADMISSION_CONCURRENCY_LIMIT_H_
+#define YUCCASTAIR_ADMISSION_CONCURRENCY_LIMIT_H_
+
+#include <cstdint>
+#include <optional>
+
+#include "yuccastair/admission/latency_window.h"
+#include "yuccastair/admission/options.h"
+#include "yuccastair/support/clock.h"
+
+namespace yuccastair::admission {
+
+/// Finds the concurrency above which a target only queues.
+///
+/// The mean latency of each window is compared with a baseline. While it stays
+/// near the baseline and the limit is used, the limit grows. When it rises, the
+/// limit is lowered for one window: if latency falls with the concurrency, the
+/// target was queueing and the limit stays down; if it does not, the service
+/// time itself has changed, so the baseline moves and the limit is restored.
+/// The same step is repeated from time to time under sustained load, because a
+/// baseline that was first measured under overload is too high. Failures lower
+/// the limit in the same way, and it is restored if they go on unchanged.
+class ConcurrencyLimit {
+ public:
+  ConcurrencyLimit(const support::Clock& clock, LimitOptions options);
+
+  void SetOptions(LimitOptions options);
+
+  /// A call starts; \p running includes it.
+  void OnStart(std::uint32_t running);
+
+  /// Returns the mean latency of a window in which it has jumped so far above
+  /// the baseline that the target may have turned cold.
+  std::optional<support::Duration> OnFinish(const Sample& sample);
+
+  /// Takes \p latency as the service time from now on.
+  void Rebase(support::Duration latency);
+
+  /// Discards the window under way, for use after a time in which the limit
+  /// was not the one in force.
+  void RestartWindow();
+
+  std::uint32_t limit() const;
+  /// Latency without queueing at the target; zero until it was measured.
+  support::Duration baseline() const { return baseline_; }
+
+ private:
+  // State before a step down whose effect is being measured.
+  struct Step {
+    double limit = 0;
+    double mean_running = 0;
+    support::Duration latency{};
+    // Share of failures for a step that was taken because of them.
+    double failure_share = 0;
+    // The target may still be busy with calls that were given up, so the first
+    // window after a step because of failures is not judged.
+    bool settled = false;
+  };
+
+  bool WindowComplete() const;
+  bool Failing() const;
+  std::optional<support::Duration> CloseWindow();
+  void JudgeStep(const Step& step);
+  void JudgeFailureStep(const Step& step);
+  bool Adapt();
+  void Grow();
+  void StepDown(double factor);
+  void SetLimit(double limit);
+
+  const support::Clock& clock_;
+  LimitOptions options_;
+  // Within [options_.min, options_.max].
+  double limit_;
+  // The limit before failures lowered it; growth below half of it is fast.
+  double proven_limit_ = 0;
+  support::Duration baseline_{};
+  std::optional<Step> step_;
+  support::TimePoint last_step_;
+  // The baseline may have been measured under overload, so the next window in
+  // which the limit is used is followed by a step.
+  bool verify_baseline_ = true;
+  // Failures that do not depend on the concurrency are ignored until then.
+  support::TimePoint ignore_failures_until_;
+  LatencyWindow window_;
+};
+
+}  // namespace yuccastair::admission
+
+#endif  // YUCCASTAIR_ADMISSION_CONCURRENCY_LIMIT_H_
--- /dev/null
+++ b/lib/admission/admission.cc
@@ -0,0 +1,296 @@
+// Joins limit, ramp and queue into decisions.
+
+#include "yuccastair/admission/admission.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace yuccastair::admission {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t kMaxRoutes = 512;
+constexpr double kMeanWeight = 1.0 / 8;
+constexpr double kDeviationWeight = 1.0 / 4;
+// A process that ends breaks all its exchanges at once; a single one may break
+// for a reason of its own.
+constexpr std::uint32_t kResetsOfRestart = 3;
+
+milliseconds ToMilliseconds(support::Duration duration) {
+  return std::chrono::duration_cast<milliseconds>(duration);
+}
+
+}  // namespace
+
+const char* ReasonText(Reason reason) {
+  switch (reason) {
+    case Reason::kAdmitted:
+      return "admitted";
+    case Reason::kQueued:
+      return "queued";
+    case Reason::kNoTarget:
+      return "no target has announced itself";
+    case Reason::kDraining:
+      return "the target is draining";
+    case Reason::kLeaving:
+      return "the target or its node is leaving";
+    case Reason::kZoneOut:
+      return "the availability zone is out of service";
+    case Reason::kDeadlinePassed:
+      return "the deadline passed before the target was asked";
+    case Reason::kDeadlineUnreachable:
+      return "the deadline is shorter than the service time";
+    case Reason::kQueueFull:
+      return "the queue of the target's node is full";
+    case Reason::kDisplaced:
+      return "displaced from the queue by another call";
+    case Reason::kQueueTimeout:
+      return "no slot became free within the queue timeout";
+    case Reason::kStopping:
+      return "the node is stopping";
+  }
+  return "";
+}
+
+Admission::Admission(const support::Clock& clock, Options options)
+    : clock_(clock),
+      options_(options),
+      limit_(clock, options.limit),
+      ramp_(clock, options.cold) {}
+
+void Admission::SetOptions(const Options& options) {
+  options_ = options;
+  limit_.SetOptions(options.limit);
+  ramp_.SetOptions(options.cold);
+}
+
+void Admission::SetTarget(wire::TargetState state,
+                          const std::string& incarnation,
+                          Decisions& decisions) {
+  // The first announcement that a node gets may come from a target that has
+  // run for long, so only its state counts.
+  const bool restarted = !incarnation_.empty() && incarnation != incarnation_;
+  const bool turned_cold =
+      state == wire::TARGET_STATE_COLD && state_ != wire::TARGET_STATE_COLD;
+  state_ = state;
+  incarnation_ = incarnation;
+  if (restarted || (turned_cold && !ramp_.active()))
+    StartRamp(false);
+  if (state == wire::TARGET_STATE_LEAVING || state == wire::TARGET_STATE_DOWN)
+    RejectAll(Reason::kLeaving, decisions);
+  Dispatch(decisions);
+}
+
+void Admission::Stop(Decisions& decisions) {
+  stopping_ = true;
+  RejectAll(Reason::kStopping, decisions);
+}
+
+std::uint32_t Admission::limit() const {
+  return ramp_.Cap(limit_.limit());
+}
+
+wire::LoadReport Admission::Load() const {
+  wire::LoadReport load;
+  load.set_running(running());
+  load.set_queued(static_cast<std::uint32_t>(queue_.size()));
+  load.set_limit(limit());
+  wire::TargetState state = state_;
+  if (state == wire::TARGET_STATE_UP && ramp_.active())
+    state = wire::TARGET_STATE_COLD;
+  if (zone_out_ || stopping_)
+    state = wire::TARGET_STATE_LEAVING;
+  load.set_state(state);
+  return load;
+}
+
+void Admission::Arrive(const Call& call, Decisions& decisions) {
+  Reason reason = Reason::kQueueFull;
+  if (RejectState(reason) || Hopeless(call, reason)) {
+    decisions.push_back(Describe(call, Verdict::kReject, reason));
+    return;
+  }
+  ramp_.Advance();
+  if (queue_.size() == 0 && running() < limit()) {
+    queue_.Charge(call);
+    Run(call, decisions);
+    return;
+  }
+  if (queue_.size() >= options_.queue.max) {
+    const auto displaced = queue_.DisplaceFor(call);
+    if (!displaced) {
+      decisions.push_back(Describe(call, Verdict::kReject, Reason::kQueueFull));
+      return;
+    }
+    decisions.push_back(
+        Describe(*displaced, Verdict::kReject, Reason::kDisplaced));
+  }
+  queue_.Push(call, clock_.Now());
+  decisions.push_back(Describe(call, Verdict::kWait, Reason::kQueued));
+  Dispatch(decisions);
+}
+
+void Admission::Finish(std::uint64_t id,
+                       ExchangeEnd end,
+                       Decisions& decisions) {
+  const auto found = running_.find(id);
+  if (found == running_.end())
+    return;
+  const Running run = std::move(found->second);
+  running_.erase(found);
+  const auto latency = clock_.Now() - run.started;
+  if (end != ExchangeEnd::kCancelled) {
+    if (end == ExchangeEnd::kComplete)
+      Learn(run.route, latency);
+    WatchForCold(end);
+    const Sample sample{run.started, latency, end != ExchangeEnd::kComplete,
+                        end == ExchangeEnd::kTimedOut};
+    if (ramp_.active()) {
+      ramp_.OnFinish(sample);
+      const auto first = ramp_.first_latency();
+      if (jump_latency_.count() > 0 && first.count() > 0) {
+        // Latency that stays high at little load is the service time.
+        if (first > jump_latency_ / 2) {
+          ramp_.End();
+          limit_.Rebase(first);
+        }
+        jump_latency_ = {};
+      }
+      if (!ramp_.active())
+        limit_.RestartWindow();
+    } else if (const auto jump = limit_.OnFinish(sample)) {
+      jump_latency_ = *jump;
+      StartRamp(true);
+    }
+  }
+  Dispatch(decisions);
+}
+
+void Admission::Tick(Decisions& decisions) {
+  const support::TimePoint now = clock_.Now();
+  ramp_.Advance();
+  for (const Call& call : queue_.TakeOlderThan(now - options_.queue.timeout))
+    decisions.push_back(
+        Describe(call, Verdict::kReject, Reason::kQueueTimeout));
+  const auto passed =
+      queue_.TakeIf([&](const Call& call) { return call.deadline <= now; });
+  for (const Call& call : passed)
+    decisions.push_back(
+        Describe(call, Verdict::kReject, Reason::kDeadlinePassed));
+  Dispatch(decisions);
+}
+
+support::Duration Admission::ExpectedServiceTime(
+    const std::string& route) const {
+  const auto found = service_times_.find(route);
+  if (found == service_times_.end())
+    return {};
+  return support::Duration(static_cast<support::Duration::rep>(
+      std::max(0.0, found->second.mean - found->second.deviation)));
+}
+
+Decision Admission::Describe(const Call& call,
+                             Verdict verdict,
+                             Reason reason) const {
+  Decision decision;
+  decision.id = call.id;
+  decision.verdict = verdict;
+  decision.reason = reason;
+  decision.running = running();
+  decision.limit = limit();
+  decision.queued = static_cast<std::uint32_t>(queue_.size());
+  decision.time_left = ToMilliseconds(call.deadline - clock_.Now());
+  decision.expected = ToMilliseconds(ExpectedServiceTime(call.route));
+  decision.overloaded =
+      decision.running >= decision.limit && queue_.size() >= options_.queue.max;
+  return decision;
+}
+
+bool Admission::RejectState(Reason& reason) const {
+  if (stopping_)
+    reason = Reason::kStopping;
+  else if (zone_out_)
+    reason = Reason::kZoneOut;
+  else if (state_ == wire::TARGET_STATE_DRAINING)
+    reason = Reason::kDraining;
+  else if (state_ == wire::TARGET_STATE_LEAVING)
+    reason = Reason::kLeaving;
+  else if (state_ != wire::TARGET_STATE_UP && state_ != wire::TARGET_STATE_COLD)
+    reason = Reason::kNoTarget;
+  else
+    return false;
+  return true;
+}
+
+bool Admission::Hopeless(const Call& call, Reason& reason) const {
+  const auto left = call.deadline - clock_.Now();
+  if (left.count() <= 0)
+    reason = Reason::kDeadlinePassed;
+  else if (left < ExpectedServiceTime(call.route))
+    reason = Reason::kDeadlineUnreachable;
+  else
+    return false;
+  return true;
+}
+
+void Admission::Run(const Call& call, Decisions& decisions) {
+  running_[call.id] = Running{call.route, clock_.Now()};
+  limit_.OnStart(running());
+  decisions.push_back(Describe(call, Verdict::kRun, Reason::kAdmitted));
+}
+
+void Admission::Dispatch(Decisions& decisions) {
+  while (running() < limit()) {
+    const auto call = queue_.Pop();
+    if (!call)
+      return;
+    Reason reason = Reason::kAdmitted;
+    if (Hopeless(*call, reason))
+      decisions.push_back(Describe(*call, Verdict::kReject, reason));
+    else
+      Run(*call, decisions);
+  }
+}
+
+void Admission::RejectAll(Reason reason, Decisions& decisions) {
+  for (const Call& call : queue_.TakeIf([](const Call&) { return true; }))
+    decisions.push_back(Describe(call, Verdict::kReject, reason));
+}
+
+void Admission::Learn(const std::string& route, support::Duration latency) {
+  if (service_times_.size() >= kMaxRoutes && !service_times_.contains(route))
+    return;
+  const auto sample = static_cast<double>(latency.count());
+  const auto [entry, added] = service_times_.try_emplace(route);
+  ServiceTime& time = entry->second;
+  if (added) {
+    // Half of the first sample as deviation, as TCP does.
+    time = {sample, sample / 2};
+    return;
+  }
+  time.deviation +=
+      kDeviationWeight * (std::abs(sample - time.mean) - time.deviation);
+  time.mean += kMeanWeight * (sample - time.mean);
+}
+
+void Admission::WatchForCold(ExchangeEnd end) {
+  const bool reset =
+      end == ExchangeEnd::kBroken || end == ExchangeEnd::kRefused;
+  resets_in_a_row_ = reset ? resets_in_a_row_ + 1 : 0;
+  // A refused connection means that no process listens any more.
+  if (end == ExchangeEnd::kRefused || resets_in_a_row_ >= kResetsOfRestart) {
+    resets_in_a_row_ = 0;
+    if (!ramp_.active())
+      StartRamp(false);
+  }
+}
+
+void Admission::StartRamp(bool suspected) {
+  if (!suspected)
+    jump_latency_ = {};
+  ramp_.Start(limit_.baseline(), suspected);
+}
+
+}  // namespace yuccastair::admission
--- /dev/null
+++ b/lib/admission/call_queue.cc
@@ -0,0 +1,139 @@
+// Start-time fair queueing in bands of importance.
+
+#include "yuccastair/admission/call_queue.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace yuccastair::admission {
+namespace {
+
+// Organisations without queued calls are kept so that what they used is
+// remembered; beyond this number those that owe nothing are forgotten.
+constexpr std::size_t kMaxIdleOrganisations = 256;
+
+}  // namespace
+
+std::size_t CallQueue::BandOf(const Call& call) {
+  const auto importance = std::clamp<int>(
+      call.importance, wire::IMPORTANCE_CRITICAL, wire::IMPORTANCE_LOW);
+  return static_cast<std::size_t>(importance) * 2 + (call.depth > 1 ? 0 : 1);
+}
+
+void CallQueue::Push(const Call& call, support::TimePoint now) {
+  const std::size_t index = BandOf(call);
+  Band& band = bands_[index];
+  Organisation& organisation = band.organisations[call.organisation];
+  const std::uint64_t sequence = next_sequence_++;
+  const Key key{-static_cast<std::int64_t>(call.depth), call.deadline,
+                sequence};
+  if (organisation.calls.empty()) {
+    organisation.tag = std::max(band.virtual_time, organisation.finish);
+    band.turns.emplace(organisation.tag, call.organisation);
+  }
+  organisation.calls.emplace(key, call.id);
+  ++band.size;
+  arrivals_.emplace(sequence, call.id);
+  entries_.emplace(call.id, Entry{call, key, now, sequence});
+}
+
+void CallQueue::Charge(const Call& call) {
+  Band& band = bands_[BandOf(call)];
+  Organisation& organisation = band.organisations[call.organisation];
+  if (organisation.calls.empty())
+    organisation.tag = std::max(band.virtual_time, organisation.finish);
+  Start(band, organisation);
+  Forget(band);
+}
+
+void CallQueue::Start(Band& band, Organisation& organisation) {
+  band.virtual_time = std::max(band.virtual_time, organisation.tag);
+  organisation.finish = organisation.tag + 1;
+}
+
+void CallQueue::Forget(Band& band) {
+  if (band.organisations.size() <= kMaxIdleOrganisations)
+    return;
+  for (auto it = band.organisations.begin(); it != band.organisations.end();) {
+    const bool owes_nothing =
+        it->second.calls.empty() && it->second.finish <= band.virtual_time + 1;
+    it = owes_nothing ? band.organisations.erase(it) : std::next(it);
+  }
+}
+
+std::optional<Call> CallQueue::Pop() {
+  const auto band = std::find_if(bands_.begin(), bands_.end(),
+                                 [](const Band& b) { return b.size > 0; });
+  if (band == bands_.end())
+    return std::nullopt;
+  const auto [tag, name] = *band->turns.begin();
+  Organisation& organisation = band->organisations[name];
+  Start(*band, organisation);
+  const std::uint64_t id = organisation.calls.begin()->second;
+  std::optional<Call> call = Remove(id);
+  Forget(*band);
+  return call;
+}
+
+std::optional<Call> CallQueue::Remove(std::uint64_t id) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end())
+    return std::nullopt;
+  Call call = std::move(found->second.call);
+  Erase(BandOf(call), call.organisation, found->second.key);
+  arrivals_.erase(found->second.sequence);
+  entries_.erase(found);
+  return call;
+}
+
+void CallQueue::Erase(std::size_t index, const std::string& name, Key key) {
+  Band& band = bands_[index];
+  Organisation& organisation = band.organisations[name];
+  organisation.calls.erase(key);
+  --band.size;
+  // The tag changes if a call of the organisation has just started.
+  const std::uint64_t tag = std::max(organisation.tag, organisation.finish);
+  if (!organisation.calls.empty() && tag == organisation.tag)
+    return;
+  band.turns.erase({organisation.tag, name});
+  organisation.tag = tag;
+  if (!organisation.calls.empty())
+    band.turns.emplace(tag, name);
+}
+
+std::optional<Call> CallQueue::DisplaceFor(const Call& arrival) {
+  const std::size_t own = BandOf(arrival);
+  std::size_t lowest = kBands;
+  while (lowest > 0 && bands_[lowest - 1].size == 0)
+    --lowest;
+  if (lowest == 0 || lowest - 1 < own)
+    return std::nullopt;
+  Band& band = bands_[--lowest];
+  const Organisation* longest = nullptr;
+  for (const auto& [tag, name] : band.turns) {
+    const Organisation& candidate = band.organisations[name];
+    if (longest == nullptr || candidate.calls.size() > longest->calls.size())
+      longest = &candidate;
+  }
+  if (lowest == own) {
+    const auto mine = band.organisations.find(arrival.organisation);
+    const std::size_t queued =
+        mine == band.organisations.end() ? 0 : mine->second.calls.size();
+    if (queued + 1 >= longest->calls.size())
+      return std::nullopt;
+  }
+  return Remove(longest->calls.rbegin()->second);
+}
+
+std::vector<Call> CallQueue::TakeOlderThan(support::TimePoint enqueued_until) {
+  std::vector<Call> taken;
+  while (!arrivals_.empty()) {
+    const std::uint64_t id = arrivals_.begin()->second;
+    if (entries_.at(id).enqueued_at > enqueued_until)
+      break;
+    taken.push_back(*Remove(id));
+  }
+  return taken;
+}
+
+}  // namespace yuccastair::admission
--- /dev/null
+++ b/lib/admission/cold_ramp.cc
@@ -0,0 +1,99 @@
+// The cold-start ramp.
+
+#include "yuccastair/admission/cold_ramp.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace yuccastair::admission {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kWindow{100};
+constexpr std::uint32_t kMinSamples = 4;
+constexpr double kStruggleLatency = 2.0;
+constexpr double kStrugglePace = 0.25;
+// With the default ramp of 10 s, a false suspicion costs little over a second.
+constexpr double kSuspectedPace = 8.0;
+constexpr double kFailureShare = 0.1;
+// Progress lost with each window of failures.
+constexpr double kFallBack = 0.1;
+
+}  // namespace
+
+ColdRamp::ColdRamp(const support::Clock& clock, ColdOptions options)
+    : clock_(clock), options_(options) {}
+
+void ColdRamp::Start(support::Duration baseline, bool suspected) {
+  active_ = true;
+  suspected_ = suspected;
+  progress_ = 0;
+  pace_ = suspected ? kSuspectedPace : 1;
+  baseline_ = baseline;
+  first_latency_ = {};
+  advanced_at_ = clock_.Now();
+  window_.Restart(advanced_at_);
+}
+
+void ColdRamp::OnFinish(const Sample& sample) {
+  if (!active_)
+    return;
+  window_.OnFinish(sample);
+  if (clock_.Now() - window_.started_at() >= kWindow &&
+      window_.finishes() >= kMinSamples)
+    CloseWindow();
+}
+
+void ColdRamp::CloseWindow() {
+  Advance();
+  const support::Duration latency = window_.MeanLatency();
+  if (window_.count() > 0) {
+    if (first_latency_.count() == 0)
+      first_latency_ = latency;
+    // A cold target may be slow even at little load; what matters is whether
+    // it becomes slower as the ramp advances.
+    baseline_ = std::max(baseline_, first_latency_);
+  }
+  const bool failing = window_.FailureShare() >= kFailureShare;
+  const bool slow = static_cast<double>(latency.count()) >
+                    kStruggleLatency * static_cast<double>(baseline_.count());
+  if ((failing || slow) && suspected_) {
+    suspected_ = false;
+    progress_ /= 2;
+  }
+  pace_ = suspected_ ? kSuspectedPace : 1;
+  if (failing) {
+    pace_ = 0;
+    progress_ = std::max(0.0, progress_ - kFallBack);
+  } else if (slow) {
+    pace_ = kStrugglePace;
+  }
+  window_.Restart(clock_.Now());
+}
+
+void ColdRamp::Advance() {
+  const support::TimePoint now = clock_.Now();
+  const auto elapsed =
+      std::chrono::duration<double, std::milli>(now - advanced_at_).count();
+  advanced_at_ = now;
+  if (!active_)
+    return;
+  const auto ramp = static_cast<double>(options_.ramp.count());
+  progress_ += ramp <= 0 ? 1.0 : pace_ * elapsed / ramp;
+  if (progress_ >= 1)
+    active_ = false;
+}
+
+std::uint32_t ColdRamp::Cap(std::uint32_t full_limit) const {
+  if (!active_)
+    return full_limit;
+  const double initial = std::max(1u, options_.initial_limit);
+  if (initial >= full_limit)
+    return full_limit;
+  const double cap = initial * std::pow(full_limit / initial, progress_);
+  return std::min(full_limit, static_cast<std::uint32_t>(cap));
+}
+
+}  // namespace yuccastair::admission
--- /dev/null
+++ b/unittests/admission/call_queue_test.cc
@@ -0,0 +1,120 @@
+// The order of the queue and who has to go when it is full.
+
+#include "yuccastair/admission/call_queue.h"
+
+#include <catch2/catch.hpp>
+
+namespace yuccastair::admission {
+namespace {
+
+using std::chrono::milliseconds;
+
+class QueueFixture {
+ protected:
+  Call MakeCall(std::uint64_t id,
+                const std::string& organisation,
+                wire::Importance importance = wire::IMPORTANCE_NORMAL,
+                std::uint32_t depth = 1,
+                milliseconds deadline = milliseconds(1000)) {
+    return {id, organisation, "route", importance, depth, now_ + deadline};
+  }
+  void Push(const Call& call) { queue_.Push(call, now_); }
+  std::vector<std::uint64_t> PopAll() {
+    std::vector<std::uint64_t> ids;
+    while (const auto call = queue_.Pop())
+      ids.push_back(call->id);
+    return ids;
+  }
+
+  const support::TimePoint now_ = support::ManualClock().Now();
+  CallQueue queue_;
+};
+
+using Ids = std::vector<std::uint64_t>;
+
+// Guards against a plain first-in first-out queue.
+TEST_CASE_METHOD(QueueFixture, "more important calls go first") {
+  Push(MakeCall(1, "a", wire::IMPORTANCE_LOW));
+  Push(MakeCall(2, "a", wire::IMPORTANCE_NORMAL));
+  Push(MakeCall(3, "a", wire::IMPORTANCE_CRITICAL));
+  Push(MakeCall(4, "a", wire::IMPORTANCE_HIGH));
+  CHECK(PopAll() == Ids{3, 4, 2, 1});
+}
+
+// Guards against wasting the work done higher up in the chain.
+TEST_CASE_METHOD(QueueFixture, "work in progress goes before new work") {
+  Push(MakeCall(1, "a"));
+  Push(MakeCall(2, "a", wire::IMPORTANCE_NORMAL, 2));
+  Push(MakeCall(3, "a", wire::IMPORTANCE_NORMAL, 4));
+  Push(MakeCall(4, "b", wire::IMPORTANCE_HIGH));
+  CHECK(PopAll() == Ids{4, 3, 2, 1});
+}
+
+// Guards against one organisation's burst delaying all others.
+TEST_CASE_METHOD(QueueFixture, "organisations take turns") {
+  for (std::uint64_t id = 1; id <= 4; ++id)
+    Push(MakeCall(id, "large"));
+  Push(MakeCall(11, "small"));
+  Push(MakeCall(12, "small"));
+  CHECK(PopAll() == Ids{1, 11, 2, 12, 3, 4});
+}
+
+// Guards against an organisation gaining turns by emptying its queue between
+// calls, and against an idle one saving up turns.
+TEST_CASE_METHOD(QueueFixture, "calls that did not queue are charged") {
+  for (std::uint64_t id = 1; id <= 3; ++id)
+    queue_.Charge(MakeCall(id, "a"));
+  Push(MakeCall(4, "a"));
+  Push(MakeCall(5, "a"));
+  Push(MakeCall(6, "b"));
+  Push(MakeCall(7, "b"));
+  CHECK(PopAll() == Ids{6, 4, 7, 5});
+}
+
+TEST_CASE_METHOD(QueueFixture, "the earliest deadline goes first") {
+  Push(MakeCall(1, "a", wire::IMPORTANCE_LOW, 1, milliseconds(900)));
+  Push(MakeCall(2, "a", wire::IMPORTANCE_LOW, 1, milliseconds(300)));
+  CHECK(PopAll() == Ids{2, 1});
+}
+
+// Guards against rejecting important calls because less important ones came
+// first.
+TEST_CASE_METHOD(QueueFixture, "a more important call displaces another") {
+  Push(MakeCall(1, "a", wire::IMPORTANCE_NORMAL));
+  Push(MakeCall(2, "a", wire::IMPORTANCE_LOW, 1, milliseconds(500)));
+  Push(MakeCall(3, "a", wire::IMPORTANCE_LOW, 1, milliseconds(800)));
+  const auto displaced =
+      queue_.DisplaceFor(MakeCall(4, "b", wire::IMPORTANCE_HIGH));
+  REQUIRE(displaced);
+  CHECK(displaced->id == 3);
+  CHECK_FALSE(queue_.DisplaceFor(MakeCall(5, "a", wire::IMPORTANCE_LOW)));
+  CHECK(queue_.size() == 2);
+}
+
+// Guards against a full queue that holds the calls of one organisation only.
+TEST_CASE_METHOD(QueueFixture, "the longest queue of a band makes room") {
+  for (std::uint64_t id = 1; id <= 3; ++id)
+    Push(MakeCall(id, "large"));
+  const auto displaced = queue_.DisplaceFor(MakeCall(4, "small"));
+  REQUIRE(displaced);
+  CHECK(displaced->organisation == "large");
+  Push(MakeCall(4, "small"));
+  CHECK_FALSE(queue_.DisplaceFor(MakeCall(5, "small")));
+  CHECK_FALSE(queue_.DisplaceFor(MakeCall(6, "large")));
+}
+
+TEST_CASE_METHOD(QueueFixture, "removal keeps the other calls and turns") {
+  Push(MakeCall(1, "a"));
+  Push(MakeCall(2, "a"));
+  Push(MakeCall(3, "b"));
+  CHECK(queue_.Remove(1)->id == 1);
+  CHECK_FALSE(queue_.Remove(1));
+  CHECK(queue_.TakeOlderThan(now_ - milliseconds(1)).empty());
+  CHECK(PopAll() == Ids{2, 3});
+  Push(MakeCall(9, "b"));
+  CHECK(queue_.TakeOlderThan(now_).size() == 1);
+  CHECK(queue_.size() == 0);
+}
+
+}  // namespace
+}  // namespace yuccastair::admission
