Let admission and routing decide in the node process

The workers of the target side took calls in the order of their arrival, and the forwarder chose targets at random and waited until the deadline, whatever became of the caller or the peer.

The target side now has a dispatcher thread that owns admission; workers run what it hands out, and queued calls can be cancelled. The forwarder routes by reported load, splits the attempt budget, limits retries to a share, cancels when the caller has gone or the deadline has passed, and notices silent nodes by heartbeats among nodes with outstanding calls.

The HTTP client sent a request a second time on a fresh connection when the target closed it without a response or timed out: a raw server counted 2 requests for one Send() in each of these cases. It counts 1 now (http_client_test). The cause is that cxxtools takes any open connection for a kept one. The asynchronous interface is used instead, which also lets another thread cancel.

The attempt budget counts attempts beyond the first of each call. Counting first attempts too was ruled out: a call graph with more calls than attempts would fail without any retry.

--- a/include/yuccastair/http/client.h
+++ b/include/yuccastair/http/client.h
@@ -22,6 +22,8 @@
   kBroken,
   /// As kBroken, because the time was over.
   kTimedOut,
+  /// As kBroken, because Cancel() was called.
+  kCancelled,
 };
 
 struct Exchange {
@@ -32,11 +34,12 @@
 
 /// A connection to one HTTP server, opened when needed.
 ///
-/// A connection whose exchange did not end cleanly is closed. Not safe for use
-/// by several threads.
+/// A connection whose exchange did not end cleanly is closed, which is also how
+/// a cancellation reaches the server. Only Cancel() is safe to call from
+/// another thread.
 class Client {
  public:
-  explicit Client(support::Address server);
+  explicit Client(const support::Address& server);
   ~Client();
 
   Client(const Client&) = delete;
@@ -44,18 +47,30 @@
 
   /// Sends \p request and waits for its response.
   ///
-  /// cxxtools silently sends a request again when a kept connection turns out
-  /// to be closed. With \p reuse_connection false the request goes out on a
-  /// fresh connection, on which it is sent once.
+  /// cxxtools silently sends a request again when a connection that was open
+  /// before turns out to be closed. With \p reuse_connection false the request
+  /// goes out on a fresh connection, on which it is sent once.
   Exchange Send(const Request& request,
                 std::chrono::milliseconds timeout,
                 bool reuse_connection);
 
+  /// Returns whether Send() would find an open connection to reuse.
+  bool HasConnection() const;
+
+  /// Ends a Send() under way, or the next one at its start, with kCancelled.
+  void Cancel();
+
+  /// Forgets a Cancel() that came after the end of the last Send().
+  void ResetCancel();
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
 };
 
+/// Returns whether something listens at \p server.
+bool CanConnect(const support::Address& server);
+
 }  // namespace yuccastair::http
 
 #endif  // YUCCASTAIR_HTTP_CLIENT_H_
--- a/include/yuccastair/wire/pending_calls.h
+++ b/include/yuccastair/wire/pending_calls.h
@@ -35,6 +35,14 @@
   /// Waits for the answer to \p correlation and forgets the request.
   Answer Wait(std::uint64_t correlation, std::chrono::milliseconds timeout);
 
+  /// Waits like Wait(), but the request stays known when the time is over, so
+  /// that the wait can be continued.
+  std::optional<Answer> WaitFor(std::uint64_t correlation,
+                                std::chrono::milliseconds timeout);
+
+  /// Drops a request; a later answer to it is dropped too.
+  void Forget(std::uint64_t correlation);
+
   /// Hands an answer to its waiting request; returns false if there is none.
   bool Complete(std::uint64_t correlation, Envelope envelope);
 
--- a/lib/node/entry.cc
+++ b/lib/node/entry.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "call_reply.h"
+#include "yuccastair/routing/fingerprint.h"
 #include "yuccastair/support/id.h"
 
 namespace yuccastair::node {
@@ -117,7 +118,8 @@
   call.set_request_id(request_id);
   call.set_trace_id(support::RandomId());
   call.set_importance(policy.importance);
-  call.set_attempt_budget(policy.attempts);
+  // The first attempt of a call is not taken from the budget.
+  call.set_attempt_budget(policy.attempts > 0 ? policy.attempts - 1 : 0);
   call.set_depth(1);
   return ToResponse(
       RunOnce(call, http::FindHeader(request.headers, kIdempotencyHeader),
@@ -166,14 +168,15 @@
   call.set_parent_span_id(context->span_id);
   call.set_importance(context->importance);
   call.set_depth(context->depth + 1);
-  // A child takes half of what is left, so that a later call of the same
-  // request still finds attempts.
-  const std::uint32_t first = duties_.running.TakeAttempts(token, 1);
-  const std::uint32_t extra = duties_.running.TakeAttempts(token, first);
-  call.set_attempt_budget(first + extra);
+  const std::uint64_t fingerprint = routing::ResendFingerprint(call);
+  const RunningCalls::Grant grant =
+      duties_.running.BeginChild(token, fingerprint);
+  if (!grant.allowed)
+    return ToResponse(NotRun("retry", grant.reason), context->request_id);
+  call.set_attempt_budget(grant.attempts);
   const wire::CallReply reply = duties_.forwarder.Forward(
       std::move(call), context->deadline, request.caller_gone);
-  duties_.running.ReturnAttempts(token, reply.unused_attempts());
+  duties_.running.EndChild(token, fingerprint, grant, reply);
   return ToResponse(reply, context->request_id);
 }
 
--- a/lib/node/forwarder.cc
+++ b/lib/node/forwarder.cc
@@ -5,107 +5,268 @@
 #include <algorithm>
 #include <thread>
 #include <utility>
-#include <vector>
 
 #include "call_reply.h"
 #include "yuccastair/support/id.h"
+#include "yuccastair/support/log.h"
 
 namespace yuccastair::node {
 namespace {
 
+using routing::AttemptEnd;
 using std::chrono::milliseconds;
 
 // How long a call waits for the first membership report of its service.
 constexpr milliseconds kMembershipWait{400};
 constexpr milliseconds kMembershipPoll{10};
+// How soon a caller that has gone or a silent node is noticed.
+constexpr milliseconds kWaitSlice{50};
 
 milliseconds TimeLeft(support::TimePoint deadline) {
-  return std::chrono::duration_cast<milliseconds>(deadline -
-                                                  support::SteadyClock().Now());
+  return std::chrono::ceil<milliseconds>(deadline -
+                                         support::SteadyClock().Now());
 }
 
-bool MayRetry(const wire::CallRequest& call, const wire::CallReply& reply) {
-  if (reply.outcome() == wire::OUTCOME_OK || reply.service_overloaded())
-    return false;
-  return call.idempotent() || reply.outcome() == wire::OUTCOME_NOT_RUN;
+bool Gone(const std::function<bool()>& caller_gone) {
+  return caller_gone && caller_gone();
+}
+
+AttemptEnd EndOf(const wire::CallReply& reply) {
+  switch (reply.outcome()) {
+    case wire::OUTCOME_OK:
+      return AttemptEnd::kServed;
+    case wire::OUTCOME_NOT_RUN:
+      // The node is fine but its target is not.
+      return reply.step() == "target" ? AttemptEnd::kFailed
+                                      : AttemptEnd::kRejected;
+    default:
+      return AttemptEnd::kFailed;
+  }
 }
 
 }  // namespace
 
+struct Forwarder::Service {
+  Service(const support::Clock& clock,
+          const routing::Options& options,
+          const std::string& zone)
+      : router(clock, options, zone, support::RandomBelow),
+        share(options.retry_share, options.retry_burst) {}
+
+  std::mutex mutex;
+  routing::Router router;
+  routing::RetryShare share;
+};
+
 Forwarder::Forwarder(FleetView& fleet,
                      wire::Transport& transport,
                      wire::PendingCalls& pending,
-                     std::function<void()> wake_sync)
-    : fleet_(fleet),
+                     std::function<void()> wake_sync,
+                     Options options)
+    : options_(std::move(options)),
+      fleet_(fleet),
       transport_(transport),
       pending_(pending),
-      wake_sync_(std::move(wake_sync)) {}
+      wake_sync_(std::move(wake_sync)),
+      health_(clock_, options_.health) {}
 
-wire::CallReply Forwarder::Forward(wire::CallRequest call,
-                                   support::TimePoint deadline,
-                                   const std::function<bool()>& caller_gone) {
-  std::vector<wire::Member> members = fleet_.MembersOf(call.service());
+Forwarder::~Forwarder() = default;
+
+Forwarder::Service& Forwarder::ServiceNamed(const std::string& name) {
+  std::lock_guard lock(mutex_);
+  auto& service = services_[name];
+  if (!service) {
+    service = std::make_unique<Service>(clock_, options_.routing,
+                                        options_.availability_zone);
+    service->router.SetZonesOut(zones_out_);
+  }
+  return *service;
+}
+
+void Forwarder::SetOptions(const std::string& service,
+                           const routing::Options& options) {
+  Service& entry = ServiceNamed(service);
+  std::lock_guard lock(entry.mutex);
+  entry.router.SetOptions(options);
+  entry.share.SetOptions(options.retry_share, options.retry_burst);
+}
+
+void Forwarder::SetZonesOut(const std::set<std::string>& zones) {
+  std::lock_guard lock(mutex_);
+  zones_out_ = zones;
+  for (auto& [name, service] : services_) {
+    std::lock_guard service_lock(service->mutex);
+    service->router.SetZonesOut(zones);
+  }
+}
+
+void Forwarder::OnTick() {
+  const PeerHealth::Due due = health_.Tick();
+  for (const std::string& address : due.pings) {
+    wire::Envelope envelope;
+    envelope.set_correlation(pending_.Begin());
+    pending_.Forget(envelope.correlation());
+    envelope.mutable_ping();
+    transport_.Send(address, std::move(envelope));
+  }
+  for (const std::string& address : due.silent) {
+    support::LogWarning("forwarder.node_silent", {{"address", address}});
+    transport_.Disconnect(address);
+  }
+}
+
+std::vector<wire::Member> Forwarder::AwaitMembers(const std::string& service,
+                                                  support::TimePoint deadline) {
+  std::vector<wire::Member> members = fleet_.MembersOf(service);
   if (members.empty())
     wake_sync_();
-  for (milliseconds waited{0}; members.empty() && waited < kMembershipWait;
+  for (milliseconds waited{0}; members.empty() && waited < kMembershipWait &&
+                               TimeLeft(deadline) > kMembershipPoll;
        waited += kMembershipPoll) {
     std::this_thread::sleep_for(kMembershipPoll);
-    members = fleet_.MembersOf(call.service());
+    members = fleet_.MembersOf(service);
+  }
+  return members;
+}
+
+wire::CallReply Forwarder::Forward(wire::CallRequest call,
+                                   support::TimePoint deadline,
+                                   const std::function<bool()>& caller_gone) {
+  const std::vector<wire::Member> members =
+      AwaitMembers(call.service(), deadline);
+  Service& service = ServiceNamed(call.service());
+  routing::AttemptBudget budget(call.attempt_budget());
+  std::vector<std::string> tried;
+  wire::CallReply reply = NotRun(
+      "routing", "no target of service " + call.service() + " takes calls");
+  {
+    std::lock_guard lock(service.mutex);
+    service.router.SetMembers(members);
+    service.share.OnFirstAttempt();
   }
-  std::uint32_t budget = call.attempt_budget();
-  if (budget == 0)
-    return NotRun("retry", "the attempt budget of the request is spent");
-  wire::CallReply reply =
-      NotRun("routing", "no target of service " + call.service() + " is known");
-  while (budget > 0 && !members.empty()) {
-    const std::size_t chosen =
-        support::RandomBelow(static_cast<std::uint32_t>(members.size()));
+  while (!Gone(caller_gone)) {
+    std::optional<routing::Choice> choice;
+    {
+      std::lock_guard lock(service.mutex);
+      choice = service.router.Choose(call.idempotent(), tried);
+      if (choice && !tried.empty() &&
+          !(budget.left() > 0 && service.share.Take() && budget.Spend())) {
+        service.router.End(*choice, AttemptEnd::kAbandoned, nullptr);
+        choice.reset();
+      }
+    }
+    if (!choice)
+      break;
+    const std::uint32_t lent = budget.Lend();
     call.set_attempt_id(support::RandomId());
-    call.set_attempt_budget(budget);
-    reply = Attempt(members[chosen].address(), call, deadline, caller_gone);
-    // The attempt itself and what its target used below it are spent.
-    budget = std::min(budget - 1, reply.unused_attempts());
-    if (reply.outcome() == wire::OUTCOME_NOT_RUN)
-      budget = std::max(budget, call.attempt_budget() - 1);
-    if (!MayRetry(call, reply) || TimeLeft(deadline).count() <= 0)
+    call.set_attempt_budget(lent);
+    Attempted attempted = Attempt(choice->address, call, deadline, caller_gone);
+    reply = std::move(attempted.reply);
+    // Nothing below can have used what was lent to a call that has not run.
+    budget.Return(lent, reply.outcome() == wire::OUTCOME_NOT_RUN
+                            ? lent
+                            : reply.unused_attempts());
+    tried.push_back(choice->node_id);
+    {
+      std::lock_guard lock(service.mutex);
+      service.router.End(*choice, attempted.end,
+                         reply.has_load() ? &reply.load() : nullptr);
+      if (attempted.end == AttemptEnd::kRejected &&
+          service.router.AllOverloaded())
+        reply.set_service_overloaded(true);
+    }
+    if (attempted.gave_up || !routing::MayRetry(call.idempotent(), reply) ||
+        TimeLeft(deadline).count() <= 0)
       break;
-    members.erase(members.begin() + static_cast<std::ptrdiff_t>(chosen));
   }
-  reply.set_unused_attempts(budget);
+  if (tried.empty() && Gone(caller_gone))
+    reply = NotRun("caller", "the caller has gone");
+  reply.set_unused_attempts(budget.left());
   return reply;
 }
 
-wire::CallReply Forwarder::Attempt(
+Forwarder::Attempted Forwarder::Attempt(
     const std::string& address,
-    wire::CallRequest call,
+    const wire::CallRequest& call,
     support::TimePoint deadline,
-    const std::function<bool()>& /*caller_gone*/) {
+    const std::function<bool()>& caller_gone) {
   const milliseconds left = TimeLeft(deadline);
   if (left.count() <= 0)
-    return NotRun("deadline", "the deadline passed before the call was sent",
-                  504);
-  call.set_deadline_ms(static_cast<std::uint32_t>(left.count()));
+    return {
+        NotRun("deadline", "the deadline passed before the call was sent", 504),
+        AttemptEnd::kAbandoned, true};
   wire::Envelope envelope;
   const std::uint64_t correlation = pending_.Begin();
   envelope.set_correlation(correlation);
-  *envelope.mutable_call_request() = std::move(call);
+  *envelope.mutable_call_request() = call;
+  envelope.mutable_call_request()->set_deadline_ms(
+      static_cast<std::uint32_t>(left.count()));
   if (!transport_.Send(address, std::move(envelope))) {
-    pending_.CompleteUndelivered(correlation);
-    pending_.Wait(correlation, milliseconds(0));
-    return NotRun("transport", "the outbound ring of this node is full");
+    pending_.Forget(correlation);
+    return {NotRun("transport", "the outbound ring of this node is full"),
+            AttemptEnd::kAbandoned};
   }
-  const wire::Answer answer = pending_.Wait(correlation, left);
-  switch (answer.result) {
-    case wire::WaitResult::kAnswered:
-      if (answer.envelope.has_call_reply())
-        return answer.envelope.call_reply();
-      return Unknown("transport", "the peer sent an unexpected answer");
-    case wire::WaitResult::kUndelivered:
-      return NotRun("transport", "node " + address + " cannot be reached");
-    case wire::WaitResult::kTimedOut:
-      break;
+  health_.OnCallStart(address);
+  Attempted attempted = Await(address, correlation, deadline, caller_gone);
+  if (attempted.gave_up)
+    attempted = Cancel(address, correlation, call, attempted.reply.reason());
+  health_.OnCallEnd(address);
+  return attempted;
+}
+
+Forwarder::Attempted Forwarder::Await(
+    const std::string& address,
+    std::uint64_t correlation,
+    support::TimePoint deadline,
+    const std::function<bool()>& caller_gone) {
+  while (true) {
+    const milliseconds left = TimeLeft(deadline);
+    if (left.count() <= 0)
+      return {Unknown("deadline", "no answer within the deadline", 504),
+              AttemptEnd::kFailed, true};
+    const auto answer =
+        pending_.WaitFor(correlation, std::min(left, kWaitSlice));
+    if (answer) {
+      if (answer->result == wire::WaitResult::kUndelivered)
+        return {NotRun("transport", "node " + address + " cannot be reached"),
+                AttemptEnd::kSilent};
+      if (!answer->envelope.has_call_reply())
+        return {Unknown("transport", "the peer sent an unexpected answer"),
+                AttemptEnd::kFailed};
+      const wire::CallReply& reply = answer->envelope.call_reply();
+      return {reply, EndOf(reply)};
+    }
+    if (health_.IsSilent(address)) {
+      pending_.Forget(correlation);
+      return {Unknown("transport", "node " + address + " has turned silent"),
+              AttemptEnd::kSilent};
+    }
+    if (Gone(caller_gone))
+      return {Unknown("caller", "the caller has gone"), AttemptEnd::kAbandoned,
+              true};
+  }
+}
+
+Forwarder::Attempted Forwarder::Cancel(const std::string& address,
+                                       std::uint64_t correlation,
+                                       const wire::CallRequest& call,
+                                       const std::string& reason) {
+  wire::Envelope envelope;
+  envelope.set_correlation(correlation);
+  envelope.mutable_call_cancel()->set_attempt_id(call.attempt_id());
+  transport_.Send(address, std::move(envelope));
+  const wire::Answer answer = pending_.Wait(correlation, options_.cancel_wait);
+  if (answer.result == wire::WaitResult::kAnswered &&
+      answer.envelope.has_call_reply()) {
+    const wire::CallReply& reply = answer.envelope.call_reply();
+    return {reply,
+            EndOf(reply) == AttemptEnd::kServed ? AttemptEnd::kServed
+                                                : AttemptEnd::kAbandoned,
+            true};
   }
-  return Unknown("deadline", "no answer within the deadline", 504);
+  // An undelivered cancellation has the same correlation as an undelivered
+  // call, so neither proves that the call did not arrive.
+  return {Unknown("deadline", reason, 504), AttemptEnd::kFailed, true};
 }
 
 }  // namespace yuccastair::node
--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -9,6 +9,7 @@
 #include "entry.h"
 #include "fleet_view.h"
 #include "forwarder.h"
+#include "receive_gap.h"
 #include "running_calls.h"
 #include "sync_client.h"
 #include "target_side.h"
@@ -26,6 +27,7 @@
 constexpr milliseconds kDrainPoll{20};
 // Long enough for every other node to have synced once after the announcement.
 constexpr milliseconds kLeaveNotice{1500};
+constexpr milliseconds kReplyFlush{200};
 
 std::optional<wire::CurveKeyPair> CurveKeys(const Settings& settings) {
   if (settings.curve_public_key.empty())
@@ -50,10 +52,15 @@
   explicit Impl(Settings settings)
       : settings_(std::move(settings)),
         incarnation_(support::RandomId()),
-        target_(settings_.target_workers, running_),
+        target_(settings_.target_workers, running_, {}, {}),
+        forwarder_(
+            fleet_,
+            transport_,
+            pending_,
+            [this] { sync_.Wake(); },
+            ForwarderOptions()),
         transport_(TransportOptions(), TransportHandlers()),
         sync_(SyncOptions(), transport_, pending_),
-        forwarder_(fleet_, transport_, pending_, [this] { sync_.Wake(); }),
         entry_(settings_,
                {authoriser_, rates_, claims_, forwarder_, running_, target_}),
         target_server_(TargetServerOptions()),
@@ -69,6 +76,7 @@
 
   void Drain() {
     leaving_ = true;
+    target_.ReportLeaving();
     sync_.Wake();
     const auto started = support::SteadyClock().Now();
     std::this_thread::sleep_for(
@@ -78,6 +86,8 @@
                settings_.shutdown_timeout &&
            (target_.running() > 0 || caller_server_.in_flight() > 0))
       std::this_thread::sleep_for(kDrainPoll);
+    // The last replies are still on their way through the transport.
+    std::this_thread::sleep_for(kReplyFlush);
     support::LogInfo("node.drained", {{"running", target_.running()}});
   }
 
@@ -93,7 +103,8 @@
                   HandleRequest(route, std::move(envelope));
                 },
             .on_answer =
-                [this](const std::string&, wire::Envelope envelope) {
+                [this](const std::string& address, wire::Envelope envelope) {
+                  forwarder_.OnAnswer(address);
                   const std::uint64_t correlation = envelope.correlation();
                   pending_.Complete(correlation, std::move(envelope));
                 },
@@ -101,7 +112,17 @@
                 [this](const std::string&, const wire::Envelope& envelope) {
                   pending_.CompleteUndelivered(envelope.correlation());
                 },
-            .on_tick = nullptr};
+            .on_tick =
+                [this] {
+                  receive_gap_.OnPass(support::SteadyClock().Now());
+                  forwarder_.OnTick();
+                }};
+  }
+
+  Forwarder::Options ForwarderOptions() const {
+    Forwarder::Options options;
+    options.availability_zone = settings_.availability_zone;
+    return options;
   }
 
   void HandleRequest(const wire::ReplyRoute& route, wire::Envelope envelope) {
@@ -113,15 +134,18 @@
       transport_.Reply(route, std::move(answer));
       return;
     }
-    if (!envelope.has_call_request())
-      return;
-    target_.Submit(std::move(*envelope.mutable_call_request()),
-                   [this, route, correlation](wire::CallReply reply) {
-                     wire::Envelope answer;
-                     answer.set_correlation(correlation);
-                     *answer.mutable_call_reply() = std::move(reply);
-                     transport_.Reply(route, std::move(answer));
-                   });
+    auto reply = [this, route, correlation](wire::CallReply reply) {
+      wire::Envelope answer;
+      answer.set_correlation(correlation);
+      *answer.mutable_call_reply() = std::move(reply);
+      transport_.Reply(route, std::move(answer));
+    };
+    if (envelope.has_call_request())
+      target_.Submit(std::move(*envelope.mutable_call_request()),
+                     std::move(reply),
+                     receive_gap_.MaxWait(support::SteadyClock().Now()));
+    else if (envelope.has_call_cancel())
+      target_.Cancel(envelope.call_cancel().attempt_id(), reply);
   }
 
   SyncClient::Options SyncOptions() {
@@ -143,6 +167,11 @@
     if (const auto announcement = target_.announcement()) {
       self->set_service(announcement->service);
       self->set_state(announcement->state);
+      const wire::LoadReport load = target_.Load();
+      self->set_limit(load.limit());
+      // A target may have turned cold without announcing it.
+      if (load.state() == wire::TARGET_STATE_COLD)
+        self->set_state(load.state());
     }
     if (leaving_)
       self->set_state(wire::TARGET_STATE_LEAVING);
@@ -183,11 +212,14 @@
   std::atomic<bool> leaving_ = false;
   wire::PendingCalls pending_;
   RunningCalls running_;
+  // Used by the transport thread only.
+  ReceiveGap receive_gap_;
   FleetView fleet_;
   TargetSide target_;
+  // Called by the transport thread, so it outlives the transport.
+  Forwarder forwarder_;
   wire::Transport transport_;
   SyncClient sync_;
-  Forwarder forwarder_;
   Authoriser authoriser_;
   RateGate rates_;
   ClaimGate claims_;
--- /dev/null
+++ b/lib/node/peer_health.h
@@ -0,0 +1,63 @@
+// Notices nodes that stop answering, by heartbeats among nodes with outstanding
+// calls.
+
+#ifndef YUCCASTAIR_LIB_NODE_PEER_HEALTH_H_
+#define YUCCASTAIR_LIB_NODE_PEER_HEALTH_H_
+
+#include <chrono>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "yuccastair/support/clock.h"
+
+namespace yuccastair::node {
+
+/// Tracks the nodes that this node waits for. Safe for use by several threads.
+class PeerHealth {
+ public:
+  struct Options {
+    /// Silence after which a Ping is sent, and the period of further ones.
+    std::chrono::milliseconds ping_after{200};
+    /// Silence with unanswered Pings after which a node counts as silent.
+    std::chrono::milliseconds silent_after{1000};
+  };
+
+  PeerHealth(const support::Clock& clock, Options options);
+
+  void OnCallStart(const std::string& address);
+  void OnCallEnd(const std::string& address);
+
+  /// Anything was received from \p address.
+  void OnAnswer(const std::string& address);
+
+  /// What has to be done now.
+  struct Due {
+    std::vector<std::string> pings;
+    /// Nodes that have just turned silent; their connections are to be closed.
+    std::vector<std::string> silent;
+  };
+  Due Tick();
+
+  bool IsSilent(const std::string& address) const;
+
+ private:
+  struct Peer {
+    std::uint32_t outstanding = 0;
+    // Last sign of life, or the start of the first outstanding call.
+    support::TimePoint heard_at;
+    support::TimePoint pinged_at;
+    bool silent = false;
+  };
+
+  const support::Clock& clock_;
+  const Options options_;
+  mutable std::mutex mutex_;
+  // Only nodes with outstanding calls.
+  std::unordered_map<std::string, Peer> peers_;
+};
+
+}  // namespace yuccastair::node
+
+#endif  // YUCCASTAIR_LIB_NODE_PEER_HEALTH_H_
--- a/lib/node/running_calls.h
+++ b/lib/node/running_calls.h
@@ -12,6 +12,7 @@
 #include <unordered_map>
 
 #include "envelope.pb.h"
+#include "yuccastair/routing/retry_policy.h"
 #include "yuccastair/support/clock.h"
 
 namespace yuccastair::node {
@@ -39,20 +40,38 @@
 
   std::optional<CallContext> Find(const std::string& token) const;
 
-  /// Takes up to \p wanted attempts out of the budget of the request.
-  std::uint32_t TakeAttempts(const std::string& token, std::uint32_t wanted);
+  /// What a call of the target may use.
+  struct Grant {
+    bool allowed = true;
+    std::uint32_t attempts = 0;
+    /// Why the call is not allowed.
+    std::string reason;
+  };
+
+  /// Begins a call of the target. \p fingerprint recognises a call that the
+  /// target makes again: that is charged one attempt, and it is refused where
+  /// none is left or the service was overloaded the first time. A call that is
+  /// allowed is lent half of the attempts that are left.
+  Grant BeginChild(const std::string& token, std::uint64_t fingerprint);
+
+  /// Ends a call of the target and puts back the attempts it did not use.
+  void EndChild(const std::string& token,
+                std::uint64_t fingerprint,
+                const Grant& grant,
+                const wire::CallReply& reply);
 
-  /// Gives back attempts that a call of the target did not use.
-  void ReturnAttempts(const std::string& token, std::uint32_t count);
+  /// Spends one attempt of the request; returns false if none is left.
+  bool SpendAttempt(const std::string& token);
 
   std::size_t size() const;
 
  private:
   struct Entry {
     CallContext context;
-    // Attempts left for everything below this request. Never grows beyond what
-    // the request arrived with.
-    std::uint32_t budget = 0;
+    // Attempts left for everything below this request.
+    routing::AttemptBudget budget;
+    // Calls that the target has made, with whether the service was overloaded.
+    std::unordered_map<std::uint64_t, bool> children;
   };
 
   mutable std::mutex mutex_;
--- a/lib/node/target_side.cc
+++ b/lib/node/target_side.cc
@@ -1,59 +1,54 @@
-// Worker threads that carry calls to the own target.
+// The dispatcher thread of the target side.
 
 #include "target_side.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "call_reply.h"
-#include "yuccastair/support/id.h"
+#include "yuccastair/support/log.h"
 
 namespace yuccastair::node {
 namespace {
 
-constexpr std::size_t kJobRingCapacity = 4096;
-constexpr std::chrono::milliseconds kIdleWait{1000};
-
-std::chrono::milliseconds TimeLeft(support::TimePoint deadline) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-      deadline - support::SteadyClock().Now());
-}
-
-http::Request ToTargetRequest(const wire::CallRequest& call,
-                              const std::string& token) {
-  http::Request request;
-  request.method = call.method();
-  request.path = call.path();
-  request.body = call.body();
-  for (const wire::Header& header : call.headers())
-    request.headers.push_back({header.name(), header.value()});
-  request.headers.push_back({"x-yuccastair-call", token});
-  request.headers.push_back(
-      {"x-yuccastair-deadline-ms", std::to_string(call.deadline_ms())});
-  request.headers.push_back({"x-yuccastair-organisation", call.organisation()});
-  request.headers.push_back({"x-yuccastair-request", call.request_id()});
-  return request;
-}
-
-wire::CallReply ToCallReply(http::Response&& response) {
-  wire::CallReply reply;
-  reply.set_outcome(wire::OUTCOME_OK);
-  reply.set_status(static_cast<std::uint32_t>(response.status));
-  http::RemoveHopByHopHeaders(response.headers);
-  for (http::Header& header : response.headers) {
-    wire::Header* copy = reply.add_headers();
-    copy->set_name(std::move(header.name));
-    copy->set_value(std::move(header.value));
-  }
-  reply.set_body(std::move(response.body));
+using admission::Admission;
+using admission::Decision;
+using admission::Verdict;
+using std::chrono::milliseconds;
+
+// Arrivals beyond this are rejected; the rest of the ring is kept for what must
+// not be lost.
+constexpr std::size_t kMaxWaitingArrivals = 4096;
+constexpr std::size_t kReservedEvents = 4096;
+constexpr milliseconds kTick{5};
+// Attempts remembered as ended: some seconds of calls at 2,000 calls/s.
+constexpr std::size_t kMaxEnded = 16384;
+
+wire::CallReply Rejection(const Decision& decision) {
+  wire::CallReply reply =
+      NotRun("admission", admission::ReasonText(decision.reason));
+  if (decision.reason == admission::Reason::kDeadlinePassed ||
+      decision.reason == admission::Reason::kDeadlineUnreachable)
+    reply.set_status(504);
   return reply;
 }
 
 }  // namespace
 
-TargetSide::TargetSide(std::size_t workers, RunningCalls& running)
+TargetSide::TargetSide(std::size_t workers,
+                       RunningCalls& running,
+                       admission::Options options,
+                       CrashHooks hooks)
     : running_(running),
       worker_count_(static_cast<std::uint32_t>(workers)),
-      jobs_(kJobRingCapacity) {
+      hooks_(std::move(hooks)),
+      events_(kMaxWaitingArrivals + kReservedEvents),
+      ready_(workers),
+      admission_(clock_, options) {
+  options.limit.max = std::min(options.limit.max, worker_count_);
+  admission_.SetOptions(options);
+  load_ = admission_.Load();
+  dispatcher_ = std::thread([this] { Dispatch(); });
   workers_.reserve(workers);
   for (std::size_t i = 0; i < workers; ++i)
     workers_.emplace_back([this] { Work(); });
@@ -64,15 +59,47 @@
 }
 
 void TargetSide::Stop() {
-  jobs_.Close();
+  if (workers_.empty())
+    return;
+  StartDraining();
+  Push({[](Admission& admission, Admission::Decisions& decisions) {
+    admission.Stop(decisions);
+  }});
+  // Workers report what they have finished until they end, and the dispatcher
+  // hands out nothing new.
+  while (unanswered_ > 0)
+    std::this_thread::sleep_for(kTick);
+  events_.Close();
+  dispatcher_.join();
+  ready_.Close();
   for (std::thread& worker : workers_)
     worker.join();
   workers_.clear();
 }
 
+void TargetSide::SetOptions(const admission::Options& options) {
+  admission::Options bounded = options;
+  bounded.limit.max = std::min(bounded.limit.max, worker_count_);
+  Push({[bounded](Admission& admission, Admission::Decisions&) {
+    admission.SetOptions(bounded);
+  }});
+}
+
+void TargetSide::SetZoneOut(bool zone_out) {
+  Push({[zone_out](Admission& admission, Admission::Decisions&) {
+    admission.SetZoneOut(zone_out);
+  }});
+}
+
 void TargetSide::Announce(const TargetAnnouncement& announcement) {
-  std::lock_guard lock(mutex_);
-  announcement_ = announcement;
+  {
+    std::lock_guard lock(mutex_);
+    announcement_ = announcement;
+  }
+  Push({[announcement](Admission& admission, Admission::Decisions& decisions) {
+    admission.SetTarget(announcement.state, announcement.incarnation,
+                        decisions);
+  }});
 }
 
 std::optional<TargetAnnouncement> TargetSide::announcement() const {
@@ -80,94 +107,173 @@
   return announcement_;
 }
 
-void TargetSide::Submit(wire::CallRequest request, Completion done) {
-  if (draining_) {
-    done(NotRun("admission", "the node is leaving"));
-    return;
+void TargetSide::ReportLeaving() {
+  reports_leaving_ = true;
+}
+
+void TargetSide::StartDraining() {
+  reports_leaving_ = true;
+  draining_ = true;
+}
+
+void TargetSide::Push(Change change) {
+  if (!events_.TryPush(std::move(change)))
+    support::LogError("target_side.change_lost");
+}
+
+void TargetSide::Submit(wire::CallRequest request,
+                        Completion done,
+                        support::Duration waited) {
+  auto job = std::make_shared<Job>();
+  job->id = next_id_++;
+  job->deadline = clock_.Now() + milliseconds(request.deadline_ms()) - waited;
+  job->request = std::move(request);
+  job->done = std::move(done);
+  ++unanswered_;
+  const char* reason = nullptr;
+  if (draining_)
+    reason = "the node is leaving";
+  else if (events_.size() >= kMaxWaitingArrivals ||
+           !events_.TryPush(Arrival{job}))
+    reason = "the target's node is overloaded";
+  if (reason != nullptr)
+    Answer(*job, NotRun("admission", reason));
+}
+
+void TargetSide::Cancel(const std::string& attempt_id, const Completion& done) {
+  if (events_.size() >= kMaxWaitingArrivals + kReservedEvents / 2 ||
+      !events_.TryPush(Cancellation{attempt_id, done}))
+    done(Unknown("cancel", "the target's node is overloaded"));
+}
+
+wire::LoadReport TargetSide::Load() const {
+  wire::LoadReport load;
+  {
+    std::lock_guard lock(mutex_);
+    load = load_;
   }
-  const auto deadline = support::SteadyClock().Now() +
-                        std::chrono::milliseconds(request.deadline_ms());
-  Job job{std::move(request), std::move(done), deadline};
-  if (!jobs_.TryPush(std::move(job)))
-    // A rejected item is unchanged.  NOLINTNEXTLINE(bugprone-use-after-move)
-    job.done(NotRun("admission", "the queue of the target's node is full"));
+  if (reports_leaving_)
+    load.set_state(wire::TARGET_STATE_LEAVING);
+  return load;
+}
+
+void TargetSide::Answer(Job& job, wire::CallReply reply) {
+  reply.set_attempt_id(job.request.attempt_id());
+  *reply.mutable_load() = Load();
+  job.done(std::move(reply));
+  --unanswered_;
 }
 
-void TargetSide::Work() {
-  std::optional<support::Address> connected_to;
-  std::unique_ptr<http::Client> client;
+void TargetSide::Dispatch() {
+  auto next_tick = clock_.Now() + kTick;
   while (true) {
-    auto job = jobs_.Pop(kIdleWait);
-    if (!job) {
-      if (jobs_.closed())
-        return;
-      continue;
-    }
-    const auto target = announcement();
-    if (!target) {
-      job->done(NotRun("admission", "no target has announced itself"));
-      continue;
+    auto event = events_.Pop(kTick);
+    if (!event && events_.closed())
+      return;
+    Admission::Decisions decisions;
+    if (event)
+      std::visit([&](auto& item) { Handle(item, decisions); }, *event);
+    if (clock_.Now() >= next_tick) {
+      admission_.Tick(decisions);
+      next_tick = clock_.Now() + kTick;
     }
-    if (!client || connected_to != target->address) {
-      client = std::make_unique<http::Client>(target->address);
-      connected_to = target->address;
+    {
+      std::lock_guard lock(mutex_);
+      load_ = admission_.Load();
     }
-    ++running_count_;
-    wire::CallReply reply = Run(*job, *client);
-    --running_count_;
-    reply.set_attempt_id(job->request.attempt_id());
-    *reply.mutable_load() = Load();
-    job->done(std::move(reply));
+    Apply(decisions);
   }
 }
 
-wire::CallReply TargetSide::Run(const Job& job, http::Client& client) {
-  const auto left = TimeLeft(job.deadline);
-  if (left.count() <= 0)
-    return NotRun("admission",
-                  "the deadline passed before the target was asked", 504);
-  const wire::CallRequest& call = job.request;
-  CallContext context;
-  context.request_id = call.request_id();
-  context.trace_id = call.trace_id();
-  context.span_id = call.parent_span_id();
-  context.organisation = call.organisation();
-  context.importance = call.importance();
-  context.deadline = job.deadline;
-  context.depth = call.depth();
-  const std::uint32_t budget =
-      call.attempt_budget() > 0 ? call.attempt_budget() - 1 : 0;
-  const std::string token = running_.Add(std::move(context), budget);
-  http::Exchange exchange =
-      client.Send(ToTargetRequest(call, token), left, call.idempotent());
-  const std::uint32_t unused = running_.Remove(token);
-  wire::CallReply reply;
-  switch (exchange.result) {
-    case http::ExchangeResult::kComplete:
-      reply = ToCallReply(std::move(exchange.response));
-      break;
-    case http::ExchangeResult::kNotSent:
-      reply = NotRun("target", exchange.error);
-      break;
-    case http::ExchangeResult::kBroken:
-      reply = Unknown("target", exchange.error);
-      break;
-    case http::ExchangeResult::kTimedOut:
-      reply = Unknown("target", exchange.error, 504);
-      break;
+void TargetSide::Handle(Arrival& arrival, Admission::Decisions& decisions) {
+  const wire::CallRequest& request = arrival.job->request;
+  if (ended_.contains(request.attempt_id()) ||
+      attempts_.contains(request.attempt_id())) {
+    // Another answer could overtake that of the first copy.
+    --unanswered_;
+    return;
   }
-  reply.set_unused_attempts(unused);
-  return reply;
+  admission::Call call;
+  call.id = arrival.job->id;
+  call.organisation = request.organisation();
+  call.route = request.route();
+  call.importance = request.importance();
+  call.depth = request.depth();
+  call.deadline = arrival.job->deadline;
+  attempts_.emplace(request.attempt_id(), call.id);
+  jobs_.emplace(call.id, std::move(arrival.job));
+  admission_.Arrive(call, decisions);
 }
 
-wire::LoadReport TargetSide::Load() const {
-  wire::LoadReport load;
-  load.set_running(static_cast<std::uint32_t>(running_count_.load()));
-  load.set_queued(static_cast<std::uint32_t>(jobs_.size()));
-  load.set_limit(worker_count_);
-  load.set_state(draining_ ? wire::TARGET_STATE_LEAVING
-                           : wire::TARGET_STATE_UP);
-  return load;
+void TargetSide::Handle(Cancellation& cancellation, Admission::Decisions&) {
+  const auto found = attempts_.find(cancellation.attempt_id);
+  if (found == attempts_.end()) {
+    if (ended_.contains(cancellation.attempt_id))
+      return;  // Its reply is on the way.
+    ended_.insert(cancellation.attempt_id);
+    ended_order_.push_back(cancellation.attempt_id);
+    cancellation.done(Unknown("cancel", "no such call is known here"));
+    return;
+  }
+  const std::uint64_t id = found->second;
+  const JobPointer job = jobs_.at(id);
+  if (admission_.Cancel(id)) {
+    Forget(id);
+    Answer(*job, NotRun("cancel", "cancelled while it was queued"));
+    return;
+  }
+  std::lock_guard lock(job->mutex);
+  job->cancelled = true;
+  if (job->client != nullptr)
+    job->client->Cancel();
+}
+
+void TargetSide::Handle(const Finished& finished,
+                        Admission::Decisions& decisions) {
+  admission_.Finish(finished.id, finished.end, decisions);
+  Forget(finished.id);
+}
+
+void TargetSide::Handle(const Change& change, Admission::Decisions& decisions) {
+  change.apply(admission_, decisions);
+}
+
+void TargetSide::Apply(const Admission::Decisions& decisions) {
+  for (const Decision& decision : decisions) {
+    if (decision.verdict == Verdict::kWait)
+      continue;
+    const JobPointer job = jobs_.at(decision.id);
+    if (decision.verdict == Verdict::kRun) {
+      job->usual_latency = decision.expected;
+      // Never full: it has a place for each call that the limit allows.
+      ready_.TryPush(JobPointer(job));
+      continue;
+    }
+    support::LogDebug("admission.rejected",
+                      {{"reason", admission::ReasonText(decision.reason)},
+                       {"running", decision.running},
+                       {"limit", decision.limit},
+                       {"queued", decision.queued},
+                       {"time_left_ms", decision.time_left.count()},
+                       {"expected_ms", decision.expected.count()}});
+    Forget(decision.id);
+    Answer(*job, Rejection(decision));
+  }
+}
+
+void TargetSide::Forget(std::uint64_t id) {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end())
+    return;
+  const std::string& attempt_id = found->second->request.attempt_id();
+  attempts_.erase(attempt_id);
+  ended_.insert(attempt_id);
+  ended_order_.push_back(attempt_id);
+  jobs_.erase(found);
+  while (ended_order_.size() > kMaxEnded) {
+    ended_.erase(ended_order_.front());
+    ended_order_.pop_front();
+  }
 }
 
 }  // namespace yuccastair::node
--- /dev/null
+++ b/lib/routing/fingerprint.cc
@@ -0,0 +1,51 @@
+// Hashes of requests.
+
+#include "yuccastair/routing/fingerprint.h"
+
+#include <xxhash.h>
+
+#include <array>
+#include <cstdio>
+#include <initializer_list>
+#include <memory>
+
+namespace yuccastair::routing {
+namespace {
+
+struct FreeState {
+  void operator()(XXH3_state_t* state) const { XXH3_freeState(state); }
+};
+using State = std::unique_ptr<XXH3_state_t, FreeState>;
+
+/// Each part is preceded by its length, so that parts cannot run together.
+State HashParts(std::initializer_list<const std::string*> parts) {
+  State state(XXH3_createState());
+  XXH3_128bits_reset(state.get());
+  for (const std::string* part : parts) {
+    const std::uint64_t size = part->size();
+    XXH3_128bits_update(state.get(), &size, sizeof size);
+    XXH3_128bits_update(state.get(), part->data(), part->size());
+  }
+  return state;
+}
+
+}  // namespace
+
+std::string CrashFingerprint(const wire::CallRequest& call) {
+  const State state = HashParts({&call.organisation(), &call.route(),
+                                 &call.method(), &call.path(), &call.body()});
+  const XXH128_hash_t hash = XXH3_128bits_digest(state.get());
+  std::array<char, 33> text{};
+  std::snprintf(text.data(), text.size(), "%016llx%016llx",
+                static_cast<unsigned long long>(hash.high64),
+                static_cast<unsigned long long>(hash.low64));
+  return text.data();
+}
+
+std::uint64_t ResendFingerprint(const wire::CallRequest& call) {
+  const State state =
+      HashParts({&call.service(), &call.method(), &call.path(), &call.body()});
+  return XXH3_128bits_digest(state.get()).low64;
+}
+
+}  // namespace yuccastair::routing
--- /dev/null
+++ b/lib/routing/retry_policy.cc
@@ -0,0 +1,18 @@
+// The rule of what may be retried.
+
+#include "yuccastair/routing/retry_policy.h"
+
+namespace yuccastair::routing {
+
+bool MayRetry(bool idempotent, const wire::CallReply& reply) {
+  switch (reply.outcome()) {
+    case wire::OUTCOME_NOT_RUN:
+      return !reply.service_overloaded();
+    case wire::OUTCOME_UNKNOWN:
+      return idempotent;
+    default:
+      return false;
+  }
+}
+
+}  // namespace yuccastair::routing
--- /dev/null
+++ b/lib/routing/router.cc
@@ -0,0 +1,261 @@
+// Power of two choices with zone preference and outlier ejection.
+
+#include "yuccastair/routing/router.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <utility>
+
+namespace yuccastair::routing {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Stands for the limit of a target that has not reported one yet, so that the
+// first calls spread over all members.
+constexpr double kAssumedLimit = 16;
+constexpr double kAssumedColdLimit = 1;
+constexpr milliseconds kReportIsRecent{1000};
+// The control processes report a state change within this time.
+constexpr milliseconds kReportedStateHolds{3000};
+// Where no idempotent call comes along, any call probes after this multiple of
+// the ejection time: a failed probe of a non-idempotent call is answered as
+// unknown, but a service without idempotent calls would never recover.
+constexpr int kAnyCallProbesAfter = 3;
+constexpr std::uint32_t kMaxDoublings = 10;
+
+}  // namespace
+
+Router::Router(const support::Clock& clock,
+               Options options,
+               std::string own_zone,
+               Random random_below)
+    : clock_(clock),
+      options_(options),
+      own_zone_(std::move(own_zone)),
+      random_below_(std::move(random_below)) {}
+
+void Router::SetMembers(const std::vector<wire::Member>& members) {
+  std::set<std::string> present;
+  for (const wire::Member& member : members) {
+    present.insert(member.node_id());
+    Target& target = targets_[member.node_id()];
+    // A restarted node has forgotten everything, its state included.
+    if (target.member.incarnation() != member.incarnation())
+      target = Target();
+    else if (target.member.state() != member.state() && target.report)
+      target.report->set_state(member.state());
+    target.member = member;
+  }
+  for (auto it = targets_.begin(); it != targets_.end();)
+    it = present.count(it->first) > 0 ? std::next(it) : targets_.erase(it);
+}
+
+bool Router::Accepts(const Target& target) const {
+  if (zones_out_.count(target.member.availability_zone()) > 0)
+    return false;
+  // An older report may tell of a drain or outage that has ended since.
+  const bool recent =
+      target.report && clock_.Now() - target.reported_at < kReportedStateHolds;
+  const wire::TargetState state =
+      recent ? target.report->state() : target.member.state();
+  switch (state) {
+    case wire::TARGET_STATE_UP:
+      return true;
+    case wire::TARGET_STATE_COLD:
+      return Load(target) < Limit(target);
+    default:
+      return false;
+  }
+}
+
+bool Router::ProbeDue(const Target& target, bool idempotent) const {
+  if (target.probing || clock_.Now() < *target.ejected_until)
+    return false;
+  return idempotent ||
+         clock_.Now() >=
+             *target.ejected_until + kAnyCallProbesAfter * EjectionTime(target);
+}
+
+double Router::Load(const Target& target) const {
+  const double own = target.outstanding;
+  if (!target.report)
+    return own;
+  const std::chrono::duration<double, std::milli> age =
+      clock_.Now() - target.reported_at;
+  const double half_lives =
+      age.count() / static_cast<double>(options_.report_half_life.count());
+  const double reported = target.report->running() + target.report->queued();
+  const double since = std::max(0.0, own - target.outstanding_at_report);
+  return std::max(own, reported * std::exp2(-half_lives) + since);
+}
+
+double Router::Limit(const Target& target) const {
+  if (target.report && target.report->limit() > 0)
+    return target.report->limit();
+  if (target.member.limit() > 0)
+    return target.member.limit();
+  return target.member.state() == wire::TARGET_STATE_COLD ? kAssumedColdLimit
+                                                          : kAssumedLimit;
+}
+
+double Router::Score(const Target& target) const {
+  return (Load(target) + 1) / Limit(target);
+}
+
+Router::Target* Router::BestOfTwo(const std::vector<Target*>& targets) const {
+  if (targets.empty())
+    return nullptr;
+  const auto count = static_cast<std::uint32_t>(targets.size());
+  const std::uint32_t first = random_below_(count);
+  if (count == 1)
+    return targets[first];
+  std::uint32_t second = random_below_(count - 1);
+  if (second >= first)
+    ++second;
+  return Score(*targets[second]) < Score(*targets[first]) ? targets[second]
+                                                          : targets[first];
+}
+
+std::optional<Choice> Router::Choose(bool idempotent,
+                                     const std::vector<std::string>& tried) {
+  std::vector<Target*> own_zone;
+  std::vector<Target*> elsewhere;
+  std::vector<Target*> ejected;
+  for (auto& [node_id, target] : targets_) {
+    if (std::find(tried.begin(), tried.end(), node_id) != tried.end() ||
+        !Accepts(target))
+      continue;
+    if (target.ejected_until) {
+      if (ProbeDue(target, idempotent))
+        return Take(target, true, 1);
+      ejected.push_back(&target);
+    } else if (options_.prefer_own_zone &&
+               target.member.availability_zone() == own_zone_) {
+      own_zone.push_back(&target);
+    } else {
+      elsewhere.push_back(&target);
+    }
+  }
+  const std::size_t candidates = own_zone.size() + elsewhere.size();
+  Target* chosen = BestOfTwo(own_zone);
+  if (chosen == nullptr || Score(*chosen) > options_.own_zone_room) {
+    Target* other = BestOfTwo(elsewhere);
+    if (other != nullptr &&
+        (chosen == nullptr || Score(*other) < Score(*chosen)))
+      chosen = other;
+  }
+  // An ejected target is still better than none.
+  if (chosen == nullptr)
+    chosen = BestOfTwo(ejected);
+  if (chosen == nullptr)
+    return std::nullopt;
+  return Take(*chosen, false, std::max(candidates, ejected.size()));
+}
+
+Choice Router::Take(Target& target, bool probe, std::size_t candidates) {
+  Choice choice;
+  choice.node_id = target.member.node_id();
+  choice.address = target.member.address();
+  choice.probe = probe;
+  choice.candidates = static_cast<std::uint32_t>(candidates);
+  choice.load = Load(target);
+  choice.limit = Limit(target);
+  target.probing = target.probing || probe;
+  ++target.outstanding;
+  return choice;
+}
+
+void Router::End(const Choice& choice,
+                 AttemptEnd end,
+                 const wire::LoadReport* load) {
+  const auto found = targets_.find(choice.node_id);
+  if (found == targets_.end())
+    return;
+  Target& target = found->second;
+  if (target.outstanding > 0)
+    --target.outstanding;
+  if (choice.probe)
+    target.probing = false;
+  if (load != nullptr && load->limit() > 0) {
+    target.report = *load;
+    target.reported_at = clock_.Now();
+    target.outstanding_at_report = target.outstanding;
+  }
+  switch (end) {
+    case AttemptEnd::kServed:
+      target.failures_in_a_row = 0;
+      if (choice.probe && ++target.good_probes >= options_.probes_to_return) {
+        target.ejected_until.reset();
+        target.ejections = 0;
+      }
+      return;
+    case AttemptEnd::kFailed:
+      Fail(target, choice.probe);
+      return;
+    case AttemptEnd::kSilent:
+      Fail(target, true);
+      return;
+    case AttemptEnd::kRejected:
+    case AttemptEnd::kAbandoned:
+      return;
+  }
+}
+
+void Router::Fail(Target& target, bool at_once) {
+  ++target.failures_in_a_row;
+  if (!at_once && target.failures_in_a_row < options_.failures_to_eject)
+    return;
+  // A call that started before the ejection does not prolong it.
+  if (target.ejected_until && clock_.Now() < *target.ejected_until)
+    return;
+  Eject(target);
+}
+
+void Router::Eject(Target& target) {
+  const auto ejected =
+      std::count_if(targets_.begin(), targets_.end(), [&](const auto& entry) {
+        return &entry.second != &target && entry.second.ejected_until;
+      });
+  // One of two may always go, or a dead target would keep its share of calls.
+  const double allowed =
+      targets_.size() < 2
+          ? 0
+          : std::max(1.0, options_.max_ejected_share *
+                              static_cast<double>(targets_.size()));
+  if (static_cast<double>(ejected + 1) > allowed)
+    return;
+  ++target.ejections;
+  target.failures_in_a_row = 0;
+  target.good_probes = 0;
+  target.ejected_until = clock_.Now() + EjectionTime(target);
+}
+
+support::Duration Router::EjectionTime(const Target& target) const {
+  const std::uint32_t doublings =
+      std::min(target.ejections > 0 ? target.ejections - 1 : 0, kMaxDoublings);
+  return std::min(options_.first_ejection * (1 << doublings),
+                  options_.max_ejection);
+}
+
+bool Router::AllOverloaded() const {
+  bool any = false;
+  for (const auto& [node_id, target] : targets_) {
+    if (target.ejected_until || !Accepts(target))
+      continue;
+    any = true;
+    if (!target.report || clock_.Now() - target.reported_at > kReportIsRecent ||
+        target.report->running() < target.report->limit() ||
+        target.report->queued() == 0)
+      return false;
+  }
+  return any;
+}
+
+bool Router::IsEjected(const std::string& node_id) const {
+  const auto found = targets_.find(node_id);
+  return found != targets_.end() && found->second.ejected_until.has_value();
+}
+
+}  // namespace yuccastair::routing
--- a/lib/wire/pending_calls.cc
+++ b/lib/wire/pending_calls.cc
@@ -26,6 +26,26 @@
   return entry->answer ? std::move(*entry->answer) : Answer{};
 }
 
+std::optional<Answer> PendingCalls::WaitFor(std::uint64_t correlation,
+                                            std::chrono::milliseconds timeout) {
+  std::unique_lock lock(mutex_);
+  const auto found = entries_.find(correlation);
+  if (found == entries_.end())
+    return Answer{};
+  const std::shared_ptr<Entry> entry = found->second;
+  entry->ready.wait_for(lock, timeout,
+                        [&] { return entry->answer.has_value(); });
+  if (!entry->answer)
+    return std::nullopt;
+  entries_.erase(correlation);
+  return std::move(entry->answer);
+}
+
+void PendingCalls::Forget(std::uint64_t correlation) {
+  std::lock_guard lock(mutex_);
+  entries_.erase(correlation);
+}
+
 bool PendingCalls::Complete(std::uint64_t correlation, Envelope envelope) {
   return Finish(correlation, {WaitResult::kAnswered, std::move(envelope)});
 }
