Test the target side and the forwarder against misbehaving peers

Fake targets and nodes on loopback sockets close after reading, answer short, late, twice or not at all; side effects are counted where they happen.

--- /dev/null
+++ b/unittests/node/forwarder_test.cc
@@ -0,0 +1,331 @@
+// The forwarder against scripted nodes on loopback sockets.
+
+#include "forwarder.h"
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <condition_variable>
+#include <functional>
+
+#include "call_reply.h"
+
+namespace yuccastair::node {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A node that answers calls as its script says. Pings are answered unless it
+/// is mute.
+class FakeNode {
+ public:
+  /// Returns the replies to send for a call; none for silence.
+  using Script =
+      std::function<std::vector<wire::CallReply>(const wire::CallRequest&)>;
+
+  FakeNode(std::uint16_t port, Script script)
+      : address_("127.0.0.1:" + std::to_string(port)),
+        script_(std::move(script)),
+        transport_({.listen = address_, .curve = std::nullopt},
+                   {.on_request =
+                        [this](const wire::ReplyRoute& route,
+                               const wire::Envelope& envelope) {
+                          Handle(route, envelope);
+                        },
+                    .on_answer = nullptr,
+                    .on_undelivered = nullptr,
+                    .on_tick = nullptr}) {}
+
+  const std::string& address() const { return address_; }
+  int calls() const { return calls_; }
+  int cancels() const { return cancels_; }
+  std::uint32_t last_budget() const { return last_budget_; }
+  void AwaitCancel() {
+    std::unique_lock lock(mutex_);
+    changed_.wait(lock, [this] { return cancels_ > 0; });
+  }
+
+  /// Answers a cancellation of a call with this reply.
+  std::optional<wire::CallReply> on_cancel;
+  std::atomic<bool> mute = false;
+
+ private:
+  void Handle(const wire::ReplyRoute& route, const wire::Envelope& envelope) {
+    if (mute)
+      return;
+    wire::Envelope answer;
+    answer.set_correlation(envelope.correlation());
+    if (envelope.has_ping()) {
+      answer.mutable_pong();
+      transport_.Reply(route, answer);
+    } else if (envelope.has_call_request()) {
+      ++calls_;
+      last_budget_ = envelope.call_request().attempt_budget();
+      for (const wire::CallReply& reply : script_(envelope.call_request())) {
+        *answer.mutable_call_reply() = reply;
+        transport_.Reply(route, answer);
+      }
+    } else if (envelope.has_call_cancel()) {
+      if (on_cancel) {
+        *answer.mutable_call_reply() = *on_cancel;
+        transport_.Reply(route, answer);
+      }
+      std::lock_guard lock(mutex_);
+      ++cancels_;
+      changed_.notify_all();
+    }
+  }
+
+  const std::string address_;
+  const Script script_;
+  std::atomic<int> calls_ = 0;
+  std::atomic<int> cancels_ = 0;
+  std::atomic<std::uint32_t> last_budget_ = 0;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  wire::Transport transport_;
+};
+
+wire::CallReply Served(std::uint32_t unused = 0) {
+  wire::CallReply reply;
+  reply.set_outcome(wire::OUTCOME_OK);
+  reply.set_status(200);
+  reply.set_unused_attempts(unused);
+  return reply;
+}
+
+FakeNode::Script Always(const wire::CallReply& reply) {
+  return [reply](const wire::CallRequest&) {
+    return std::vector<wire::CallReply>{reply};
+  };
+}
+
+std::vector<wire::CallReply> Nothing(const wire::CallRequest&) {
+  return {};
+}
+
+wire::CallRequest MakeCall(bool idempotent, std::uint32_t budget = 4) {
+  wire::CallRequest call;
+  call.set_service("seats");
+  call.set_idempotent(idempotent);
+  call.set_attempt_budget(budget);
+  return call;
+}
+
+class ForwarderFixture {
+ protected:
+  ForwarderFixture()
+      : forwarder_(
+            fleet_,
+            transport_,
+            pending_,
+            [] {},
+            Forwarder::Options{.availability_zone = "z",
+                               .routing = {},
+                               .health = {.ping_after = milliseconds(20),
+                                          .silent_after = milliseconds(300)},
+                               .cancel_wait = milliseconds(5000)}),
+        transport_({.listen = "", .curve = std::nullopt}, Handlers()) {}
+
+  wire::Transport::Handlers Handlers() {
+    return {.on_request = nullptr,
+            .on_answer =
+                [this](const std::string& address, wire::Envelope envelope) {
+                  forwarder_.OnAnswer(address);
+                  const std::uint64_t correlation = envelope.correlation();
+                  pending_.Complete(correlation, std::move(envelope));
+                },
+            .on_undelivered =
+                [this](const std::string&, const wire::Envelope& envelope) {
+                  pending_.CompleteUndelivered(envelope.correlation());
+                },
+            .on_tick = [this] { forwarder_.OnTick(); }};
+  }
+
+  /// Members are chosen in this order: each is far less loaded than the next.
+  void SetMembers(const std::vector<std::string>& addresses) {
+    fleet_.MembersOf("seats");
+    wire::SyncReply sync;
+    wire::ServiceMembers* service = sync.add_services();
+    service->set_service("seats");
+    service->set_revision(1);
+    service->set_full(true);
+    std::uint32_t limit = 1000;
+    for (const std::string& address : addresses) {
+      wire::Member* member = service->add_members();
+      member->set_node_id(address);
+      member->set_address(address);
+      member->set_service("seats");
+      member->set_state(wire::TARGET_STATE_UP);
+      member->set_limit(limit);
+      limit /= 10;
+    }
+    fleet_.Apply(sync);
+  }
+
+  wire::CallReply Forward(const wire::CallRequest& call,
+                          milliseconds deadline = milliseconds(20000),
+                          const std::function<bool()>& caller_gone = {}) {
+    return forwarder_.Forward(call, support::SteadyClock().Now() + deadline,
+                              caller_gone);
+  }
+
+  FleetView fleet_;
+  wire::PendingCalls pending_;
+  // Bound before the transport exists; not used before.
+  Forwarder forwarder_;
+  wire::Transport transport_;
+};
+
+TEST_CASE_METHOD(ForwarderFixture, "a call that has not run is re-routed") {
+  FakeNode first(27301, Always(NotRun("admission", "full")));
+  FakeNode second(27302, Always(Served()));
+  SetMembers({first.address(), second.address()});
+  SECTION("within its budget") {
+    CHECK(Forward(MakeCall(false)).outcome() == wire::OUTCOME_OK);
+    CHECK(second.calls() == 1);
+  }
+  SECTION("but not without one") {
+    CHECK(Forward(MakeCall(false, 0)).outcome() == wire::OUTCOME_NOT_RUN);
+    CHECK(second.calls() == 0);
+  }
+  CHECK(first.calls() == 1);
+}
+
+// Guards against retries that cannot help and add to the overload.
+TEST_CASE_METHOD(ForwarderFixture, "an overloaded service is not tried again") {
+  wire::CallReply overloaded = NotRun("admission", "full");
+  SECTION("as one node says") {
+    overloaded.set_service_overloaded(true);
+  }
+  SECTION("as all nodes report") {
+    overloaded.mutable_load()->set_state(wire::TARGET_STATE_UP);
+    overloaded.mutable_load()->set_limit(4);
+    overloaded.mutable_load()->set_running(4);
+    overloaded.mutable_load()->set_queued(4);
+  }
+  FakeNode first(27303, Always(overloaded));
+  FakeNode second(27304, Always(overloaded));
+  SetMembers({first.address(), second.address()});
+  Forward(MakeCall(true));
+  const int before = first.calls() + second.calls();
+  const wire::CallReply reply = Forward(MakeCall(true));
+  CHECK(reply.service_overloaded());
+  CHECK(reply.outcome() == wire::OUTCOME_NOT_RUN);
+  CHECK(first.calls() + second.calls() == before + 1);
+}
+
+// Guards against running a call twice at two targets.
+TEST_CASE_METHOD(ForwarderFixture, "an unknown outcome is retried if allowed") {
+  const bool idempotent = GENERATE(false, true);
+  FakeNode first(27305, Always(Unknown("target", "broken")));
+  FakeNode second(27306, Always(Served()));
+  SetMembers({first.address(), second.address()});
+  const wire::CallReply reply = Forward(MakeCall(idempotent));
+  CHECK(reply.outcome() ==
+        (idempotent ? wire::OUTCOME_OK : wire::OUTCOME_UNKNOWN));
+  CHECK(first.calls() == 1);
+  CHECK(second.calls() == (idempotent ? 1 : 0));
+}
+
+// Guards against calls that wait for a dead node until their deadline.
+TEST_CASE_METHOD(ForwarderFixture, "a node that stops answering is left") {
+  const bool idempotent = GENERATE(false, true);
+  FakeNode first(27307, Nothing);
+  first.mute = true;
+  FakeNode second(27308, Always(Served()));
+  SetMembers({first.address(), second.address()});
+  const wire::CallReply reply = Forward(MakeCall(idempotent));
+  CHECK(reply.outcome() ==
+        (idempotent ? wire::OUTCOME_OK : wire::OUTCOME_UNKNOWN));
+  CHECK(second.calls() == (idempotent ? 1 : 0));
+  // It is ejected: the next call goes elsewhere at once.
+  CHECK(Forward(MakeCall(false)).outcome() == wire::OUTCOME_OK);
+}
+
+TEST_CASE_METHOD(ForwarderFixture, "an unreachable node means not run") {
+  FakeNode second(27310, Always(Served()));
+  SetMembers({"127.0.0.1:27309", second.address()});
+  CHECK(Forward(MakeCall(false)).outcome() == wire::OUTCOME_OK);
+  SetMembers({"127.0.0.1:27309"});
+  CHECK(Forward(MakeCall(false)).outcome() == wire::OUTCOME_NOT_RUN);
+}
+
+// Guards against "not run" without proof when a call may still be queued.
+TEST_CASE_METHOD(ForwarderFixture, "a late call is cancelled") {
+  FakeNode node(27311, Nothing);
+  SetMembers({node.address()});
+  SECTION("confirmed as not run") {
+    node.on_cancel = NotRun("cancel", "cancelled while it was queued");
+    CHECK(Forward(MakeCall(false), milliseconds(200)).outcome() ==
+          wire::OUTCOME_NOT_RUN);
+  }
+  SECTION("that was running") {
+    node.on_cancel = Unknown("cancel", "cancelled while it ran");
+    CHECK(Forward(MakeCall(false), milliseconds(200)).outcome() ==
+          wire::OUTCOME_UNKNOWN);
+  }
+  SECTION("without a confirmation") {
+    CHECK(Forward(MakeCall(false), milliseconds(200)).outcome() ==
+          wire::OUTCOME_UNKNOWN);
+  }
+  CHECK(node.cancels() == 1);
+}
+
+TEST_CASE_METHOD(ForwarderFixture, "a call is cancelled when its caller goes") {
+  FakeNode node(27312, Nothing);
+  node.on_cancel = Unknown("cancel", "cancelled while it ran");
+  SetMembers({node.address()});
+  const auto gone = [&] { return node.calls() > 0; };
+  CHECK(Forward(MakeCall(true), milliseconds(20000), gone).outcome() ==
+        wire::OUTCOME_UNKNOWN);
+  node.AwaitCancel();
+  CHECK(node.calls() == 1);
+  const auto gone_before = [] { return true; };
+  CHECK(Forward(MakeCall(false), milliseconds(20000), gone_before).outcome() ==
+        wire::OUTCOME_NOT_RUN);
+  CHECK(node.calls() == 1);
+}
+
+// Guards against an answer that reaches the wrong call.
+TEST_CASE_METHOD(ForwarderFixture, "duplicate replies are dropped") {
+  int number = 0;
+  FakeNode node(27313, [&](const wire::CallRequest&) {
+    wire::CallReply reply = Served();
+    reply.set_body(std::to_string(++number));
+    return std::vector<wire::CallReply>{reply, reply, reply};
+  });
+  SetMembers({node.address()});
+  CHECK(Forward(MakeCall(true)).body() == "1");
+  CHECK(Forward(MakeCall(true)).body() == "2");
+}
+
+// Guards against a budget that is copied to an attempt instead of split.
+TEST_CASE_METHOD(ForwarderFixture, "the budget is split and comes back") {
+  FakeNode first(27314, Always(Unknown("target", "broken")));
+  FakeNode second(27315, Always(Served(1)));
+  SetMembers({first.address(), second.address()});
+  const wire::CallReply reply = Forward(MakeCall(true, 6));
+  CHECK(reply.outcome() == wire::OUTCOME_OK);
+  // Of 6, 3 were lent and lost with the first attempt and 1 paid for the
+  // second; 1 was lent to that and came back.
+  CHECK(first.last_budget() == 3);
+  CHECK(second.last_budget() == 1);
+  CHECK(reply.unused_attempts() == 2);
+}
+
+// Guards against retries that multiply load when every call fails.
+TEST_CASE_METHOD(ForwarderFixture, "retries are limited to their share") {
+  FakeNode first(27316, Always(Unknown("target", "broken")));
+  FakeNode second(27317, Always(Unknown("target", "broken")));
+  SetMembers({first.address(), second.address()});
+  routing::Options options;
+  options.retry_share = 0.1;
+  options.retry_burst = 2;
+  forwarder_.SetOptions("seats", options);
+  for (int i = 0; i < 50; ++i)
+    Forward(MakeCall(true));
+  CHECK(first.calls() + second.calls() <= 50 + 2 + 5);
+}
+
+}  // namespace
+}  // namespace yuccastair::node
--- /dev/null
+++ b/unittests/node/target_side_test.cc
@@ -0,0 +1,283 @@
+// The target side against targets that misbehave. Side effects are counted at
+// the target; a call counts as run there once it was read.
+
+#include "target_side.h"
+
+#include <catch2/catch.hpp>
+#include <future>
+
+#include "fake_target.h"
+
+namespace yuccastair::node {
+namespace {
+
+using std::chrono::milliseconds;
+using Action = FakeTarget::Action;
+
+constexpr std::uint32_t kLongMs = 20000;
+constexpr std::uint32_t kShortMs = 300;
+
+admission::Options OneAtATime() {
+  admission::Options options;
+  options.limit = {.initial = 1, .min = 1, .max = 1};
+  options.queue = {.max = 1, .timeout = milliseconds(kLongMs)};
+  return options;
+}
+
+wire::CallRequest MakeCall(const std::string& attempt, bool idempotent) {
+  wire::CallRequest call;
+  call.set_attempt_id(attempt);
+  call.set_method(idempotent ? "GET" : "POST");
+  call.set_path("/seats/" + attempt);
+  call.set_organisation("choir");
+  call.set_route("seats");
+  call.set_idempotent(idempotent);
+  call.set_deadline_ms(kLongMs);
+  call.set_attempt_budget(4);
+  call.set_depth(1);
+  return call;
+}
+
+class Side {
+ public:
+  explicit Side(const FakeTarget& target,
+                const admission::Options& options = {},
+                TargetSide::CrashHooks hooks = {})
+      : side_(8, running_, options, std::move(hooks)) {
+    Announce(target.address());
+  }
+
+  void Announce(const support::Address& address) {
+    side_.Announce({"seats", "1", address, wire::TARGET_STATE_UP});
+  }
+  std::future<wire::CallReply> Submit(const wire::CallRequest& call,
+                                      support::Duration waited = {}) {
+    auto promise = std::make_shared<std::promise<wire::CallReply>>();
+    side_.Submit(
+        call,
+        [promise](wire::CallReply reply) {
+          promise->set_value(std::move(reply));
+        },
+        waited);
+    return promise->get_future();
+  }
+  wire::CallReply Call(const wire::CallRequest& call) {
+    return Submit(call).get();
+  }
+  wire::CallReply Cancel(const std::string& attempt) {
+    std::promise<wire::CallReply> promise;
+    side_.Cancel(attempt, [&](wire::CallReply reply) {
+      promise.set_value(std::move(reply));
+    });
+    return promise.get_future().get();
+  }
+  TargetSide& operator*() { return side_; }
+
+ private:
+  RunningCalls running_;
+  TargetSide side_;
+};
+
+// Guards against a second run of a call that may have had its effect.
+TEST_CASE("a non-idempotent call reaches the target at most once") {
+  const Action action = GENERATE(Action::kClose, Action::kAnswerShort,
+                                 Action::kSilent, Action::kCrash);
+  FakeTarget target(27201, [&](const std::string&) { return action; });
+  Side side(target);
+  wire::CallRequest call = MakeCall("a", false);
+  if (action == Action::kSilent)
+    call.set_deadline_ms(kShortMs);
+  const wire::CallReply reply = side.Call(call);
+  CHECK(reply.outcome() == wire::OUTCOME_UNKNOWN);
+  CHECK(target.requests() == 1);
+}
+
+// Guards against one attempt that becomes many, and against none where one more
+// would have done.
+TEST_CASE("an idempotent call is sent again once, within its budget") {
+  const std::uint32_t budget = GENERATE(0, 1, 4);
+  const Action action = GENERATE(Action::kClose, Action::kSilent);
+  int seen = 0;
+  FakeTarget target(27202, [&](const std::string&) {
+    return ++seen == 1 ? action : Action::kAnswer;
+  });
+  Side side(target);
+  wire::CallRequest call = MakeCall("a", true);
+  call.set_attempt_budget(budget);
+  if (action == Action::kSilent)
+    call.set_deadline_ms(budget == 0 ? kShortMs : 2000);
+  const wire::CallReply reply = side.Call(call);
+  CHECK(target.requests() == (budget == 0 ? 1 : 2));
+  CHECK(reply.outcome() ==
+        (budget == 0 ? wire::OUTCOME_UNKNOWN : wire::OUTCOME_OK));
+  CHECK(reply.unused_attempts() == (budget == 0 ? 0 : budget - 1));
+}
+
+// Guards against "not run" for a call whose first exchange broke and whose
+// second one found nobody.
+TEST_CASE("a call that broke and was refused afterwards is unknown") {
+  FakeTarget target(27203, [](const std::string&) { return Action::kCrash; });
+  Side side(target);
+  CHECK(side.Call(MakeCall("a", true)).outcome() == wire::OUTCOME_UNKNOWN);
+  CHECK(side.Call(MakeCall("b", true)).outcome() == wire::OUTCOME_NOT_RUN);
+  CHECK(target.requests() == 1);
+}
+
+TEST_CASE("a queue overflow is not run") {
+  FakeTarget target(27204,
+                    [](const std::string&) { return Action::kAnswerLate; });
+  Side side(target, OneAtATime());
+  auto first = side.Submit(MakeCall("a", false));
+  target.AwaitRequests(1);
+  auto second = side.Submit(MakeCall("b", false));
+  const wire::CallReply third = side.Call(MakeCall("c", false));
+  CHECK(third.outcome() == wire::OUTCOME_NOT_RUN);
+  CHECK(third.load().running() == 1);
+  CHECK(third.load().queued() == 1);
+  target.Release();
+  CHECK(first.get().outcome() == wire::OUTCOME_OK);
+  CHECK(second.get().outcome() == wire::OUTCOME_OK);
+  CHECK(target.requests() == 2);
+}
+
+// Guards against a confirmation of "not run" that a later start makes false.
+TEST_CASE("a cancelled call in the queue never runs") {
+  FakeTarget target(27205,
+                    [](const std::string&) { return Action::kAnswerLate; });
+  Side side(target, OneAtATime());
+  auto first = side.Submit(MakeCall("a", false));
+  target.AwaitRequests(1);
+  auto second = side.Submit(MakeCall("b", false));
+  (*side).Cancel("b", nullptr);
+  CHECK(second.get().outcome() == wire::OUTCOME_NOT_RUN);
+  target.Release();
+  CHECK(first.get().outcome() == wire::OUTCOME_OK);
+  CHECK(target.requests() == 1);
+}
+
+// Guards against work for a caller that has gone.
+TEST_CASE("cancelling a running call closes the target's connection") {
+  FakeTarget target(27206, [](const std::string&) { return Action::kSilent; });
+  Side side(target);
+  auto reply = side.Submit(MakeCall("a", false));
+  target.AwaitRequests(1);
+  (*side).Cancel("a", nullptr);
+  CHECK(reply.get().outcome() == wire::OUTCOME_UNKNOWN);
+  target.AwaitAbandoned(1);
+  CHECK(target.requests() == 1);
+}
+
+// Guards against a call that overtakes its cancellation on another connection,
+// and against "not run" for a call that an earlier process of the node ran.
+TEST_CASE("a call that was cancelled before it came is not run") {
+  FakeTarget target(27207);
+  Side side(target);
+  CHECK(side.Cancel("a").outcome() == wire::OUTCOME_UNKNOWN);
+  auto dropped = side.Submit(MakeCall("a", false));
+  CHECK(side.Call(MakeCall("b", false)).outcome() == wire::OUTCOME_OK);
+  CHECK(target.requests() == 1);
+}
+
+TEST_CASE("a second copy of a call is dropped") {
+  FakeTarget target(27208,
+                    [](const std::string&) { return Action::kAnswerLate; });
+  Side side(target);
+  auto first = side.Submit(MakeCall("a", false));
+  auto second = side.Submit(MakeCall("a", false));
+  target.AwaitRequests(1);
+  target.Release();
+  CHECK(first.get().outcome() == wire::OUTCOME_OK);
+  auto third = side.Submit(MakeCall("a", false));
+  CHECK(side.Call(MakeCall("b", false)).outcome() == wire::OUTCOME_OK);
+  CHECK(target.requests() == 2);
+}
+
+// Guards against calls that run long after their deadline, because their time
+// left was counted anew when a frozen node went on.
+TEST_CASE("a call that waited in the sockets of a frozen node is not run") {
+  FakeTarget target(27209);
+  Side side(target);
+  const auto reply =
+      side.Submit(MakeCall("a", false), milliseconds(kLongMs)).get();
+  CHECK(reply.outcome() == wire::OUTCOME_NOT_RUN);
+  CHECK(target.requests() == 0);
+}
+
+// Guards against a planned stop that interrupts requests.
+TEST_CASE("draining finishes what was accepted") {
+  FakeTarget target(27210,
+                    [](const std::string&) { return Action::kAnswerLate; });
+  Side side(target, OneAtATime());
+  auto running = side.Submit(MakeCall("a", false));
+  target.AwaitRequests(1);
+  auto queued = side.Submit(MakeCall("b", false));
+  (*side).StartDraining();
+  CHECK(side.Call(MakeCall("c", false)).outcome() == wire::OUTCOME_NOT_RUN);
+  CHECK((*side).running() == 2);
+  CHECK((*side).Load().state() == wire::TARGET_STATE_LEAVING);
+  target.Release();
+  CHECK(running.get().outcome() == wire::OUTCOME_OK);
+  CHECK(queued.get().outcome() == wire::OUTCOME_OK);
+}
+
+TEST_CASE("stopping rejects the queue and finishes what runs") {
+  FakeTarget target(27211,
+                    [](const std::string&) { return Action::kAnswerLate; });
+  Side side(target, OneAtATime());
+  auto running = side.Submit(MakeCall("a", false));
+  target.AwaitRequests(1);
+  auto queued = side.Submit(MakeCall("b", false));
+  std::thread stopping([&] { (*side).Stop(); });
+  CHECK(queued.get().outcome() == wire::OUTCOME_NOT_RUN);
+  target.Release();
+  CHECK(running.get().outcome() == wire::OUTCOME_OK);
+  stopping.join();
+  CHECK(target.requests() == 1);
+}
+
+// Guards against a request that takes down one target after the other.
+TEST_CASE("a crash is reported before the caller is answered") {
+  FakeTarget target(27212, [](const std::string&) { return Action::kCrash; });
+  std::mutex mutex;
+  std::vector<std::string> reported;
+  Side side(target, {},
+            {.is_known =
+                 [&](const std::string& fingerprint) {
+                   std::lock_guard lock(mutex);
+                   return std::count(reported.begin(), reported.end(),
+                                     fingerprint) > 0;
+                 },
+             .report =
+                 [&](const std::string& fingerprint) {
+                   std::lock_guard lock(mutex);
+                   reported.push_back(fingerprint);
+                 }});
+  CHECK(side.Call(MakeCall("a", false)).outcome() == wire::OUTCOME_UNKNOWN);
+  {
+    std::lock_guard lock(mutex);
+    REQUIRE(reported.size() == 1);
+  }
+  FakeTarget restarted(27213);
+  side.Announce(restarted.address());
+  wire::CallRequest again = MakeCall("a", false);
+  again.set_attempt_id("a2");
+  const wire::CallReply reply = side.Call(again);
+  CHECK(reply.outcome() == wire::OUTCOME_NOT_RUN);
+  CHECK(reply.step() == "fingerprint");
+  CHECK(side.Call(MakeCall("b", false)).outcome() == wire::OUTCOME_OK);
+  CHECK(restarted.requests() == 1);
+}
+
+// Guards against fingerprints for exchanges that break while the target lives.
+TEST_CASE("a broken exchange with a living target is no crash") {
+  FakeTarget target(27214, [](const std::string&) { return Action::kClose; });
+  std::atomic<int> reports = 0;
+  Side side(
+      target, {},
+      {.is_known = nullptr, .report = [&](const std::string&) { ++reports; }});
+  CHECK(side.Call(MakeCall("a", false)).outcome() == wire::OUTCOME_UNKNOWN);
+  CHECK(reports == 0);
+}
+
+}  // namespace
+}  // namespace yuccastair::node
