--- /dev/null
+++ b/unittests/node/running_calls_test.cc
@@ -0,0 +1,128 @@
+// What the calls of a target may use, and the small watchers of the node.
+
+#include "running_calls.h"
+
+#include <catch2/catch.hpp>
+
+#include "call_reply.h"
+#include "peer_health.h"
+#include "receive_gap.h"
+
+namespace yuccastair::node {
+namespace {
+
+using std::chrono::milliseconds;
+
+wire::CallReply Unused(std::uint32_t attempts) {
+  wire::CallReply reply;
+  reply.set_unused_attempts(attempts);
+  return reply;
+}
+
+// Guards against a budget that is copied to each call of a target.
+TEST_CASE("child calls share the attempts of their request") {
+  RunningCalls running;
+  const std::string token = running.Add({}, 6);
+  const auto first = running.BeginChild(token, 1);
+  const auto second = running.BeginChild(token, 2);
+  CHECK(first.attempts == 3);
+  CHECK(second.attempts == 1);
+  running.EndChild(token, 1, first, Unused(3));
+  running.EndChild(token, 2, second, Unused(0));
+  CHECK(running.Remove(token) == 5);
+}
+
+// Guards against a target that retries by itself without limit.
+TEST_CASE("a target's resends are charged") {
+  RunningCalls running;
+  const std::string token = running.Add({}, 2);
+  for (int i = 0; i < 3; ++i) {
+    const auto grant = running.BeginChild(token, 7);
+    CHECK(grant.allowed);
+    running.EndChild(token, 7, grant, Unused(grant.attempts));
+  }
+  CHECK_FALSE(running.BeginChild(token, 7).allowed);
+  CHECK(running.BeginChild(token, 8).allowed);
+  CHECK_FALSE(running.BeginChild("other", 8).allowed);
+}
+
+TEST_CASE("a resend to an overloaded service is refused") {
+  RunningCalls running;
+  const std::string token = running.Add({}, 10);
+  const auto grant = running.BeginChild(token, 7);
+  wire::CallReply overloaded = NotRun("admission", "full");
+  overloaded.set_service_overloaded(true);
+  overloaded.set_unused_attempts(grant.attempts);
+  running.EndChild(token, 7, grant, overloaded);
+  CHECK_FALSE(running.BeginChild(token, 7).allowed);
+  CHECK(running.Remove(token) == 10);
+}
+
+// Guards against pings to nodes that nobody waits for, and against taking a
+// slow call for a silent node.
+TEST_CASE("only nodes with outstanding calls are pinged") {
+  support::ManualClock clock;
+  PeerHealth health(clock, {milliseconds(200), milliseconds(1000)});
+  clock.Advance(milliseconds(5000));
+  CHECK(health.Tick().pings.empty());
+  health.OnCallStart("a");
+  CHECK(health.Tick().pings.empty());
+  for (int i = 0; i < 20; ++i) {
+    clock.Advance(milliseconds(200));
+    CHECK(health.Tick().pings.size() == 1);
+    health.OnAnswer("a");
+  }
+  CHECK_FALSE(health.IsSilent("a"));
+  health.OnCallEnd("a");
+  clock.Advance(milliseconds(5000));
+  CHECK(health.Tick().pings.empty());
+}
+
+TEST_CASE("a node that answers no ping is silent until it answers") {
+  support::ManualClock clock;
+  PeerHealth health(clock, {milliseconds(200), milliseconds(1000)});
+  health.OnCallStart("a");
+  std::size_t silent = 0;
+  for (int i = 0; i < 10; ++i) {
+    clock.Advance(milliseconds(200));
+    silent += health.Tick().silent.size();
+  }
+  CHECK(silent == 1);
+  CHECK(health.IsSilent("a"));
+  health.OnAnswer("a");
+  CHECK_FALSE(health.IsSilent("a"));
+}
+
+// Guards against blaming others for the time in which this process was frozen.
+TEST_CASE("a node is not silent before a ping was due and sent") {
+  support::ManualClock clock;
+  PeerHealth health(clock, {milliseconds(200), milliseconds(1000)});
+  health.OnCallStart("a");
+  clock.Advance(milliseconds(60000));
+  CHECK(health.Tick().silent.empty());
+  CHECK_FALSE(health.IsSilent("a"));
+}
+
+TEST_CASE("a gap of the receive loop counts as waiting time") {
+  support::ManualClock clock;
+  ReceiveGap gap;
+  CHECK(gap.MaxWait(clock.Now()) == support::Duration{});
+  gap.OnPass(clock.Now());
+  clock.Advance(milliseconds(20));
+  CHECK(gap.MaxWait(clock.Now()) == support::Duration{});
+  gap.OnPass(clock.Now());
+  clock.Advance(milliseconds(9000));
+  CHECK(gap.MaxWait(clock.Now()) == milliseconds(9000));
+  // What is read in the next passes may have waited as long.
+  gap.OnPass(clock.Now());
+  clock.Advance(milliseconds(20));
+  CHECK(gap.MaxWait(clock.Now()) == milliseconds(9000));
+  for (int i = 0; i < 24; ++i) {
+    gap.OnPass(clock.Now());
+    clock.Advance(milliseconds(20));
+  }
+  CHECK(gap.MaxWait(clock.Now()) == support::Duration{});
+}
+
+}  // namespace
+}  // namespace yuccastair::node
--- /dev/null
+++ b/unittests/routing/retry_policy_test.cc
@@ -0,0 +1,96 @@
+// Which outcomes are retried, and how many attempts there are.
+
+#include "yuccastair/routing/retry_policy.h"
+
+#include <catch2/catch.hpp>
+#include <functional>
+
+#include "yuccastair/routing/fingerprint.h"
+
+namespace yuccastair::routing {
+namespace {
+
+TEST_CASE("what may be retried") {
+  struct Row {
+    wire::Outcome outcome;
+    bool idempotent;
+    bool service_overloaded;
+    bool may_retry;
+  };
+  const Row row = GENERATE(values<Row>({
+      {wire::OUTCOME_OK, true, false, false},
+      {wire::OUTCOME_NOT_RUN, false, false, true},
+      {wire::OUTCOME_NOT_RUN, true, false, true},
+      {wire::OUTCOME_NOT_RUN, true, true, false},
+      {wire::OUTCOME_UNKNOWN, true, false, true},
+      {wire::OUTCOME_UNKNOWN, false, false, false},
+      {wire::OUTCOME_UNSPECIFIED, true, false, false},
+  }));
+  wire::CallReply reply;
+  reply.set_outcome(row.outcome);
+  reply.set_service_overloaded(row.service_overloaded);
+  CHECK(MayRetry(row.idempotent, reply) == row.may_retry);
+}
+
+// Guards against attempts that multiply with the depth of the call chain: each
+// level of a tree in which every attempt fails retries all it can.
+TEST_CASE("attempts are bounded over the whole call tree") {
+  const std::uint32_t budget = GENERATE(0, 1, 5, 20);
+  std::uint32_t extra = 0;
+  const std::function<std::uint32_t(std::uint32_t, int)> fail =
+      [&](std::uint32_t attempts, int depth) {
+        AttemptBudget own(attempts);
+        while (true) {
+          const std::uint32_t lent = own.Lend();
+          own.Return(lent, depth < 6 ? fail(lent, depth + 1) : lent);
+          if (!own.Spend())
+            return own.left();
+          ++extra;
+        }
+      };
+  fail(budget, 1);
+  CHECK(extra == budget);
+}
+
+TEST_CASE("no more comes back than was lent") {
+  AttemptBudget budget(5);
+  const std::uint32_t lent = budget.Lend();
+  CHECK(lent == 2);
+  budget.Return(lent, 100);
+  CHECK(budget.left() == 5);
+}
+
+TEST_CASE("the retry share is filled by first attempts") {
+  RetryShare share(0.25, 2);
+  CHECK(share.Take());
+  CHECK(share.Take());
+  CHECK_FALSE(share.Take());
+  for (int i = 0; i < 4; ++i)
+    share.OnFirstAttempt();
+  CHECK(share.Take());
+  CHECK_FALSE(share.Take());
+}
+
+// Guards against one fingerprint for different requests.
+TEST_CASE("fingerprints tell requests apart") {
+  wire::CallRequest call;
+  call.set_organisation("a");
+  call.set_route("bc");
+  call.set_path("/x");
+  const std::string fingerprint = CrashFingerprint(call);
+  CHECK(fingerprint.size() == 32);
+  wire::CallRequest same = call;
+  same.set_attempt_id("other");
+  CHECK(CrashFingerprint(same) == fingerprint);
+  wire::CallRequest shifted = call;
+  shifted.set_organisation("ab");
+  shifted.set_route("c");
+  CHECK(CrashFingerprint(shifted) != fingerprint);
+  wire::CallRequest other_path = call;
+  other_path.set_path("/y");
+  CHECK(CrashFingerprint(other_path) != fingerprint);
+  CHECK(ResendFingerprint(other_path) != ResendFingerprint(call));
+}
+
+}  // namespace
+}  // namespace yuccastair::routing
--- /dev/null
+++ b/unittests/routing/router_test.cc
@@ -0,0 +1,244 @@
+// Choice of targets, ejection and the way back.
+
+#include "yuccastair/routing/router.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <random>
+
+namespace yuccastair::routing {
+namespace {
+
+using std::chrono::milliseconds;
+
+class RouterFixture {
+ protected:
+  RouterFixture()
+      : router_(clock_, Options(), "z1", [this](std::uint32_t bound) {
+          return std::uniform_int_distribution<std::uint32_t>(
+              0, bound - 1)(random_);
+        }) {}
+
+  void Add(const std::string& id,
+           const std::string& zone = "z1",
+           wire::TargetState state = wire::TARGET_STATE_UP) {
+    wire::Member member;
+    member.set_node_id(id);
+    member.set_incarnation("1");
+    member.set_address(id + ":1");
+    member.set_availability_zone(zone);
+    member.set_state(state);
+    members_.push_back(member);
+    router_.SetMembers(members_);
+  }
+
+  static wire::LoadReport Report(
+      std::uint32_t running,
+      std::uint32_t limit,
+      std::uint32_t queued = 0,
+      wire::TargetState state = wire::TARGET_STATE_UP) {
+    wire::LoadReport load;
+    load.set_running(running);
+    load.set_limit(limit);
+    load.set_queued(queued);
+    load.set_state(state);
+    return load;
+  }
+
+  /// Ends one call to a given target with a report.
+  void Hear(const std::string& id,
+            const wire::LoadReport& load,
+            AttemptEnd end = AttemptEnd::kServed) {
+    Choice choice;
+    choice.node_id = id;
+    router_.End(choice, end, &load);
+  }
+
+  std::map<std::string, int> Spread(int calls, bool idempotent = true) {
+    std::map<std::string, int> counts;
+    for (int i = 0; i < calls; ++i) {
+      const auto choice = router_.Choose(idempotent, {});
+      if (!choice)
+        continue;
+      ++counts[choice->node_id];
+      router_.End(*choice, AttemptEnd::kAbandoned, nullptr);
+    }
+    return counts;
+  }
+
+  /// Fails calls to a target until it is ejected.
+  void EjectTarget(const std::string& id) {
+    Choice choice;
+    choice.node_id = id;
+    for (int i = 0; i < 5; ++i)
+      router_.End(choice, AttemptEnd::kFailed, nullptr);
+  }
+
+  support::ManualClock clock_;
+  std::mt19937 random_{7};
+  std::vector<wire::Member> members_;
+  Router router_;
+};
+
+TEST_CASE_METHOD(RouterFixture, "calls go to the less loaded targets") {
+  Add("a");
+  Add("b");
+  Add("c");
+  Hear("a", Report(9, 10));
+  Hear("b", Report(1, 10));
+  Hear("c", Report(1, 10));
+  auto counts = Spread(300);
+  CHECK(counts["a"] == 0);
+  CHECK(counts["b"] > 100);
+  CHECK(counts["c"] > 100);
+}
+
+// Guards against sending everything to whichever target reported last.
+TEST_CASE_METHOD(RouterFixture, "own outstanding calls and age count") {
+  Add("a");
+  Add("b");
+  Hear("a", Report(0, 10));
+  Hear("b", Report(4, 10));
+  std::map<std::string, int> counts;
+  for (int i = 0; i < 10; ++i)
+    ++counts[router_.Choose(true, {})->node_id];
+  CHECK(counts["a"] == 7);
+  CHECK(counts["b"] == 3);
+  clock_.Advance(milliseconds(5000));
+  const auto choice = router_.Choose(true, {"a"});
+  REQUIRE(choice);
+  CHECK(choice->load < 4.1);
+}
+
+TEST_CASE_METHOD(RouterFixture, "the own zone is preferred while it has room") {
+  Add("a", "z1");
+  Add("b", "z2");
+  CHECK(Spread(50)["b"] == 0);
+  Hear("a", Report(10, 10));
+  Hear("b", Report(2, 10));
+  CHECK(Spread(50)["a"] == 0);
+}
+
+// Guards against new work for a target that must not get any.
+TEST_CASE_METHOD(RouterFixture, "some targets get no calls") {
+  Add("a");
+  SECTION("by their announced state") {
+    const auto state =
+        GENERATE(wire::TARGET_STATE_DRAINING, wire::TARGET_STATE_LEAVING,
+                 wire::TARGET_STATE_DOWN);
+    Add("b", "z1", state);
+  }
+  SECTION("by the state on their last answer") {
+    Add("b");
+    Hear("b", Report(0, 10, 0, wire::TARGET_STATE_LEAVING));
+  }
+  SECTION("because their zone is out of service") {
+    Add("b", "z2");
+    router_.SetZonesOut({"z2"});
+    Hear("a", Report(10, 10));
+  }
+  SECTION("because they are cold and at their limit") {
+    Add("b");
+    Hear("b", Report(2, 2, 0, wire::TARGET_STATE_COLD));
+  }
+  CHECK(Spread(50)["b"] == 0);
+  CHECK_FALSE(router_.Choose(true, {"a"}));
+}
+
+// Guards against a target that stays left out after a cancelled drain.
+TEST_CASE_METHOD(RouterFixture, "an old report of a state is not believed") {
+  Add("a");
+  Hear("a", Report(0, 10, 0, wire::TARGET_STATE_LEAVING));
+  CHECK_FALSE(router_.Choose(true, {}));
+  clock_.Advance(milliseconds(3000));
+  CHECK(router_.Choose(true, {}));
+}
+
+TEST_CASE_METHOD(RouterFixture, "a cold target gets calls up to its ramp") {
+  Add("a", "z1", wire::TARGET_STATE_COLD);
+  Hear("a", Report(0, 2, 0, wire::TARGET_STATE_COLD));
+  CHECK(router_.Choose(true, {}));
+  CHECK(router_.Choose(true, {}));
+  CHECK_FALSE(router_.Choose(true, {}));
+}
+
+TEST_CASE_METHOD(RouterFixture, "failing targets are ejected and come back") {
+  for (const char* id : {"a", "b", "c"})
+    Add(id);
+  EjectTarget("a");
+  CHECK(router_.IsEjected("a"));
+  CHECK(Spread(100)["a"] == 0);
+  clock_.Advance(milliseconds(1000));
+  // Only an idempotent call probes, and one at a time.
+  CHECK(Spread(100, false)["a"] == 0);
+  const auto probe = router_.Choose(true, {});
+  REQUIRE(probe);
+  CHECK(probe->probe);
+  CHECK(probe->node_id == "a");
+  CHECK_FALSE(router_.Choose(true, {})->probe);
+  SECTION("a failed probe doubles the time") {
+    router_.End(*probe, AttemptEnd::kFailed, nullptr);
+    clock_.Advance(milliseconds(1500));
+    CHECK(Spread(100)["a"] == 0);
+    clock_.Advance(milliseconds(500));
+    CHECK(router_.Choose(true, {})->probe);
+  }
+  SECTION("two good probes reinstate it") {
+    router_.End(*probe, AttemptEnd::kServed, nullptr);
+    CHECK(router_.IsEjected("a"));
+    router_.End(*router_.Choose(true, {}), AttemptEnd::kServed, nullptr);
+    CHECK_FALSE(router_.IsEjected("a"));
+  }
+}
+
+// Guards against a service without idempotent calls that loses its targets.
+TEST_CASE_METHOD(RouterFixture, "any call probes in the end") {
+  for (const char* id : {"a", "b", "c"})
+    Add(id);
+  EjectTarget("a");
+  clock_.Advance(milliseconds(4000));
+  CHECK(router_.Choose(false, {})->probe);
+}
+
+// Guards against ejecting all targets when what they depend on fails.
+TEST_CASE_METHOD(RouterFixture, "the ejected share is bounded") {
+  for (const char* id : {"a", "b", "c", "d", "e", "f"})
+    Add(id);
+  for (const char* id : {"a", "b", "c", "d"})
+    EjectTarget(id);
+  CHECK(router_.IsEjected("a"));
+  CHECK(router_.IsEjected("b"));
+  CHECK_FALSE(router_.IsEjected("c"));
+  CHECK_FALSE(router_.IsEjected("d"));
+}
+
+TEST_CASE_METHOD(RouterFixture, "a silent target is ejected at once") {
+  Add("a");
+  Add("b");
+  Choice choice;
+  choice.node_id = "a";
+  router_.End(choice, AttemptEnd::kSilent, nullptr);
+  CHECK(router_.IsEjected("a"));
+  // A restarted node starts anew.
+  members_[0].set_incarnation("2");
+  router_.SetMembers(members_);
+  CHECK_FALSE(router_.IsEjected("a"));
+}
+
+// Guards against taking rejections for failures, which would turn overload into
+// ejections.
+TEST_CASE_METHOD(RouterFixture, "rejections do not eject") {
+  Add("a");
+  Add("b");
+  for (int i = 0; i < 20; ++i)
+    Hear("a", Report(10, 10, 5), AttemptEnd::kRejected);
+  CHECK_FALSE(router_.IsEjected("a"));
+  CHECK_FALSE(router_.AllOverloaded());
+  Hear("b", Report(10, 10, 1), AttemptEnd::kRejected);
+  CHECK(router_.AllOverloaded());
+  clock_.Advance(milliseconds(2000));
+  CHECK_FALSE(router_.AllOverloaded());
+}
+
+}  // namespace
+}  // namespace yuccastair::routing
