Bound the probes for crashed targets and the age of service times

A service time learnt from slow calls rejected every call with a shorter deadline, and no call was left to correct it; it counts for one second now. The check whether a target still listens could block on a full backlog and opened ten connections for each broken exchange; it is bounded to 100 ms and opens two.

--- a/include/yuccastair/admission/admission.h
+++ b/include/yuccastair/admission/admission.h
@@ -112,7 +112,8 @@
   bool cold() const { return ramp_.active(); }
   wire::LoadReport Load() const;
 
-  /// The service time of most calls of \p route; zero if not known.
+  /// The service time of most calls of \p route; zero if none has finished
+  /// lately. An older estimate might reject every call that could correct it.
   support::Duration ExpectedServiceTime(const std::string& route) const;
 
  private:
@@ -125,6 +126,7 @@
   struct ServiceTime {
     double mean = 0;
     double deviation = 0;
+    support::TimePoint learnt_at;
   };
 
   Decision Describe(const Call& call, Verdict verdict, Reason reason) const;
--- a/lib/admission/admission.cc
+++ b/lib/admission/admission.cc
@@ -12,6 +12,7 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t kMaxRoutes = 512;
+constexpr std::chrono::seconds kServiceTimeHolds{1};
 constexpr double kMeanWeight = 1.0 / 8;
 constexpr double kDeviationWeight = 1.0 / 4;
 // A process that ends breaks all its exchanges at once; a single one may break
@@ -185,7 +186,8 @@
 support::Duration Admission::ExpectedServiceTime(
     const std::string& route) const {
   const auto found = service_times_.find(route);
-  if (found == service_times_.end())
+  if (found == service_times_.end() ||
+      clock_.Now() - found->second.learnt_at > kServiceTimeHolds)
     return {};
   return support::Duration(static_cast<support::Duration::rep>(
       std::max(0.0, found->second.mean - found->second.deviation)));
@@ -265,9 +267,11 @@
   const auto sample = static_cast<double>(latency.count());
   const auto [entry, added] = service_times_.try_emplace(route);
   ServiceTime& time = entry->second;
+  time.learnt_at = clock_.Now();
   if (added) {
     // Half of the first sample as deviation, as TCP does.
-    time = {sample, sample / 2};
+    time.mean = sample;
+    time.deviation = sample / 2;
     return;
   }
   time.deviation +=
--- a/lib/http/client.cc
+++ b/lib/http/client.cc
@@ -6,7 +6,9 @@
 #include <cxxtools/http/client.h>
 #include <cxxtools/http/reply.h>
 #include <cxxtools/http/request.h>
+#include <cxxtools/ioerror.h>
 #include <cxxtools/limitstream.h>
+#include <cxxtools/net/addrinfo.h>
 #include <cxxtools/net/tcpsocket.h>
 #include <cxxtools/selector.h>
 #include <cxxtools/streambuffer.h>
@@ -23,6 +25,8 @@
 namespace yuccastair::http {
 namespace {
 
+constexpr std::chrono::milliseconds kConnectProbe{100};
+
 cxxtools::Milliseconds ToCxxtools(std::chrono::milliseconds duration) {
   return cxxtools::Milliseconds(static_cast<double>(duration.count()));
 }
@@ -228,11 +232,15 @@
 
 bool CanConnect(const support::Address& server) {
   try {
-    cxxtools::net::TcpSocket socket(server.host, server.port);
-    return true;
+    cxxtools::net::TcpSocket socket;
+    socket.setTimeout(ToCxxtools(kConnectProbe));
+    socket.connect(cxxtools::net::AddrInfo(server.host, server.port));
+  } catch (const cxxtools::IOTimeout&) {
+    // A full backlog: something listens but does not accept.
   } catch (const std::exception&) {
     return false;
   }
+  return true;
 }
 
 }  // namespace yuccastair::http
--- a/lib/node/target_side.cc
+++ b/lib/node/target_side.cc
@@ -21,12 +21,16 @@
 constexpr std::size_t kMaxWaitingArrivals = 4096;
 constexpr std::size_t kReservedEvents = 4096;
 constexpr milliseconds kTick{5};
+constexpr milliseconds kIdleTick{100};
+// About the time in which a queue of the default size is worked off.
+constexpr milliseconds kRetryAfter{200};
 // Attempts remembered as ended: some seconds of calls at 2,000 calls/s.
 constexpr std::size_t kMaxEnded = 16384;
 
 wire::CallReply Rejection(const Decision& decision) {
   wire::CallReply reply =
       NotRun("admission", admission::ReasonText(decision.reason));
+  reply.set_retry_after_ms(static_cast<std::uint32_t>(kRetryAfter.count()));
   if (decision.reason == admission::Reason::kDeadlinePassed ||
       decision.reason == admission::Reason::kDeadlineUnreachable)
     reply.set_status(504);
@@ -167,7 +171,7 @@
 void TargetSide::Dispatch() {
   auto next_tick = clock_.Now() + kTick;
   while (true) {
-    auto event = events_.Pop(kTick);
+    auto event = events_.Pop(admission_.queued() > 0 ? kTick : kIdleTick);
     if (!event && events_.closed())
       return;
     Admission::Decisions decisions;
--- a/lib/node/target_worker.cc
+++ b/lib/node/target_worker.cc
@@ -15,7 +15,7 @@
 using admission::ExchangeEnd;
 using std::chrono::milliseconds;
 
-constexpr milliseconds kIdleWait{1000};
+constexpr milliseconds kIdleWait{60000};
 // A kept connection on which nothing comes for this many usual latencies, and
 // for this long, is taken for silent.
 constexpr int kSilentLatencies = 8;
@@ -231,15 +231,15 @@
 
 bool TargetSide::TargetIsGone(const TargetAnnouncement& target) const {
   const auto until = clock_.Now() + kCrashWatch;
-  while (true) {
+  if (!http::CanConnect(target.address))
+    return true;
+  while (clock_.Now() < until) {
     const auto now = announcement();
-    if ((now && now->incarnation != target.incarnation) ||
-        !http::CanConnect(target.address))
+    if (now && now->incarnation != target.incarnation)
       return true;
-    if (clock_.Now() >= until)
-      return false;
     std::this_thread::sleep_for(kCrashPoll);
   }
+  return !http::CanConnect(target.address);
 }
 
 }  // namespace yuccastair::node
--- a/unittests/admission/admission_test.cc
+++ b/unittests/admission/admission_test.cc
@@ -97,6 +97,11 @@
   CHECK(Arrive(30, milliseconds(20)).reason == Reason::kDeadlineUnreachable);
   CHECK(Arrive(31, milliseconds(0)).reason == Reason::kDeadlinePassed);
   CHECK(Arrive(32, milliseconds(80)).verdict == Verdict::kRun);
+  SECTION("but not for ever on one estimate") {
+    clock_.Advance(milliseconds(1100));
+    CHECK(Arrive(35, milliseconds(20)).verdict == Verdict::kRun);
+    return;
+  }
   // The same holds when the deadline is used up in the queue.
   Arrive(33, milliseconds(1000));
   Arrive(34, milliseconds(60));
--- a/unittests/http/client_test.cc
+++ b/unittests/http/client_test.cc
@@ -35,7 +35,7 @@
   const bool reuse = GENERATE(false, true);
   int seen = 0;
   FakeTarget target(27101, [&, action = action](const std::string&) {
-    return ++seen == 1 ? Action::kAnswer : action;
+    return ++seen == 2 ? action : Action::kAnswer;
   });
   Client client(target.address());
   CHECK(client.Send(Post(), kLong, reuse).result == ExchangeResult::kComplete);
@@ -45,6 +45,9 @@
   CHECK(exchange.result == result);
   CHECK(target.requests() == 2);
   CHECK(client.HasConnection() == (result == ExchangeResult::kComplete));
+  // The client is of use again afterwards.
+  CHECK(client.Send(Post(), kLong, reuse).result == ExchangeResult::kComplete);
+  CHECK(target.requests() == 3);
 }
 
 // Guards against "not run" for a request that a target may have seen, and
@@ -68,6 +71,23 @@
   CHECK(target.requests() == 1);
 }
 
+// Guards against a buffer that only holds small messages.
+TEST_CASE("a large body arrives whole") {
+  std::string received;
+  FakeTarget target(27105, [&](const std::string& request) {
+    received = request.substr(request.find("\r\n\r\n") + 4);
+    return Action::kAnswer;
+  });
+  Request request = Post();
+  request.body.assign(3000000, 'x');
+  request.body += "end";
+  Client client(target.address());
+  const Exchange exchange = client.Send(request, kLong, false);
+  CHECK(exchange.result == ExchangeResult::kComplete);
+  CHECK(exchange.response.body == "ok");
+  CHECK(received == request.body);
+}
+
 TEST_CASE("a connection that the target closed is not used again") {
   FakeTarget first(27104);
   Client client(first.address());
