--- a/lib/control/control.cc
+++ b/lib/control/control.cc
@@ -271,7 +271,7 @@
   }
 
   const Settings settings_;
-  const support::SteadyClock clock_;
+  const support::SteadyClock clock_{};
   // Owned by the core thread.
   membership::Registry registry_;
   state::SettingsMachine settings_table_;
--- a/lib/node/claim_gate.h
+++ b/lib/node/claim_gate.h
@@ -67,7 +67,7 @@
   void Record();
 
   LeaderChannel& leader_;
-  const support::SteadyClock clock_;
+  const support::SteadyClock clock_{};
   support::BoundedRing<wire::ClaimOperation> records_;
   std::thread recorder_;
 };
--- a/lib/node/rate_gate.h
+++ b/lib/node/rate_gate.h
@@ -44,7 +44,7 @@
   bool Exchange(const wire::RateRequest& request);
 
   LeaderChannel& leader_;
-  const support::SteadyClock clock_;
+  const support::SteadyClock clock_{};
   std::mutex mutex_;
   // For requests that wait for a token.
   std::condition_variable granted_;
--- /dev/null
+++ b/lib/node/settings_options.h
@@ -0,0 +1,18 @@
+// Options of admission and routing from the shared settings.
+
+#ifndef YUCCASTAIR_LIB_NODE_SETTINGS_OPTIONS_H_
+#define YUCCASTAIR_LIB_NODE_SETTINGS_OPTIONS_H_
+
+#include "settings_view.h"
+#include "yuccastair/admission/options.h"
+#include "yuccastair/routing/options.h"
+
+namespace yuccastair::node {
+
+admission::Options AdmissionOptions(const EffectiveSettings& settings);
+
+routing::Options RoutingOptions(const EffectiveSettings& settings);
+
+}  // namespace yuccastair::node
+
+#endif  // YUCCASTAIR_LIB_NODE_SETTINGS_OPTIONS_H_
