Replace the cxxtools client by one with strict framing

The client of cxxtools 3.0 broke two promises. It sent a request again when no response came, also on a fresh connection; and it took responses for whole that were not: a chunked response that was cut short came back complete with no body, and one that ends with the connection lost its body. A response to HEAD or a 304 with a length hung until the deadline, and the next exchange with it. Its asynchronous interface was tried first: it sends once and can be cancelled, but never finishes a chunked response.

The new client drives one socket with poll(), sends each request once, can be cancelled from another thread, and leaves the framing to a parser without sockets. The server side still uses cxxtools.

--- a/include/yuccastair/http/client.h
+++ b/include/yuccastair/http/client.h
@@ -45,11 +45,9 @@
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
 
-  /// Sends \p request and waits for its response.
-  ///
-  /// cxxtools silently sends a request again when a connection that was open
-  /// before turns out to be closed. With \p reuse_connection false the request
-  /// goes out on a fresh connection, on which it is sent once.
+  /// Sends \p request and waits for its response. It is sent once, whatever
+  /// happens. With \p reuse_connection false it goes out on a fresh connection,
+  /// which the server cannot be about to close.
   Exchange Send(const Request& request,
                 std::chrono::milliseconds timeout,
                 bool reuse_connection);
@@ -64,6 +62,7 @@
   void ResetCancel();
 
  private:
+  friend bool CanConnect(const support::Address& server);
   class Impl;
   std::unique_ptr<Impl> impl_;
 };
--- a/lib/http/client.cc
+++ b/lib/http/client.cc
@@ -1,209 +1,274 @@
-// The cxxtools client with checks that a response is whole.
+// One connection to a server, driven by poll().
+//
+// The client of cxxtools 3.0 is not used: it sends a request a second time when
+// no response comes, takes a chunked response that was cut short for whole,
+// returns no body without a length, and cannot be cancelled.
 
 #include "yuccastair/http/client.h"
 
-#include <cxxtools/connectable.h>
-#include <cxxtools/http/client.h>
-#include <cxxtools/http/reply.h>
-#include <cxxtools/http/request.h>
-#include <cxxtools/ioerror.h>
-#include <cxxtools/limitstream.h>
-#include <cxxtools/net/addrinfo.h>
-#include <cxxtools/net/tcpsocket.h>
-#include <cxxtools/selector.h>
-#include <cxxtools/streambuffer.h>
+#include <arpa/inet.h>
 #include <errno.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
+#include <algorithm>
+#include <array>
 #include <atomic>
-#include <istream>
-#include <streambuf>
+#include <cstring>
+#include <string_view>
 #include <utility>
 
+#include "yuccastair/http/response_parser.h"
 #include "yuccastair/support/error.h"
 
 namespace yuccastair::http {
 namespace {
 
-constexpr std::chrono::milliseconds kConnectProbe{100};
+using std::chrono::milliseconds;
+using SteadyClock = std::chrono::steady_clock;
 
-cxxtools::Milliseconds ToCxxtools(std::chrono::milliseconds duration) {
-  return cxxtools::Milliseconds(static_cast<double>(duration.count()));
+constexpr milliseconds kConnectProbe{100};
+
+struct SocketAddress {
+  sockaddr_storage storage{};
+  socklen_t size = 0;
+};
+
+bool ToSocketAddress(const support::Address& address, SocketAddress& result) {
+  auto* v4 = reinterpret_cast<sockaddr_in*>(&result.storage);
+  if (inet_pton(AF_INET, address.host.c_str(), &v4->sin_addr) == 1) {
+    v4->sin_family = AF_INET;
+    v4->sin_port = htons(address.port);
+    result.size = sizeof *v4;
+    return true;
+  }
+  auto* v6 = reinterpret_cast<sockaddr_in6*>(&result.storage);
+  if (inet_pton(AF_INET6, address.host.c_str(), &v6->sin6_addr) != 1)
+    return false;
+  v6->sin6_family = AF_INET6;
+  v6->sin6_port = htons(address.port);
+  result.size = sizeof *v6;
+  return true;
 }
 
-cxxtools::http::Request Convert(const Request& request) {
-  cxxtools::http::Request converted;
-  const std::size_t question = request.path.find('?');
-  converted.url(request.path.substr(0, question));
-  if (question != std::string::npos)
-    converted.qparams(request.path.substr(question + 1));
-  converted.method(request.method);
-  for (const Header& header : request.headers)
-    converted.addHeader(header.name.c_str(), header.value.c_str());
-  converted.body() << request.body;
-  return converted;
+bool HasControlCharacter(std::string_view text) {
+  return text.find_first_of(std::string_view("\r\n\0", 3)) !=
+         std::string_view::npos;
 }
 
-/// Returns whether the body has the length that the header announced.
-bool IsWhole(const cxxtools::http::ReplyHeader& header,
-             std::size_t body_size,
-             const std::string& method) {
-  const char* length = header.getHeader("Content-Length");
-  if (method == "HEAD" || length == nullptr)
-    return true;
-  return header.contentLength() == body_size;
+bool HasBody(const Request& request) {
+  return !request.body.empty() || request.method == "POST" ||
+         request.method == "PUT" || request.method == "PATCH";
+}
+
+std::string Serialize(const Request& request, const std::string& host) {
+  std::string text = request.method + ' ' + request.path + " HTTP/1.1\r\n";
+  if (FindHeader(request.headers, "Host").empty())
+    text += "Host: " + host + "\r\n";
+  for (const Header& header : request.headers) {
+    if (SameName(header.name, "Content-Length") ||
+        HasControlCharacter(header.name) || HasControlCharacter(header.value))
+      continue;
+    text += header.name + ": " + header.value + "\r\n";
+  }
+  if (HasBody(request))
+    text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+  text += "\r\n";
+  text += request.body;
+  return text;
 }
 
 }  // namespace
 
-// Requests run through the asynchronous interface of cxxtools, because a
-// blocking call cannot be ended from another thread and, on an open connection,
-// sends a request a second time when no response comes.
-class Client::Impl : public cxxtools::Connectable {
+class Client::Impl {
  public:
-  explicit Impl(const support::Address& server) {
-    client_.setSelector(selector_);
-    client_.prepareConnect(server.host, server.port);
-    cxxtools::connect(client_.replyFinished, *this, &Impl::OnFinished);
-    cxxtools::connect(client_.requestSent, *this, &Impl::OnSent);
-    cxxtools::connect(client_.bodyAvailable, *this, &Impl::OnBody);
+  explicit Impl(support::Address server)
+      : server_(std::move(server)),
+        wakeup_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
+    if (wakeup_ < 0)
+      throw support::Error("create client", server_.ToString(),
+                           std::strerror(errno));
+  }
+
+  ~Impl() {
+    Close();
+    close(wakeup_);
   }
+  Impl(const Impl&) = delete;
+  Impl& operator=(const Impl&) = delete;
 
   Exchange Send(const Request& request,
-                std::chrono::milliseconds timeout,
+                milliseconds timeout,
                 bool reuse_connection) {
-    const auto deadline = std::chrono::steady_clock::now() + timeout;
-    if (!reuse_connection || PeerClosed())
-      Close();
-    connected_ = IsConnected();
-    sent_ = false;
-    finished_ = false;
-    body_.clear();
+    deadline_ = SteadyClock::now() + timeout;
     Exchange exchange;
-    try {
-      // cxxtools keeps a pointer to it until the response is complete.
-      const cxxtools::http::Request converted = Convert(request);
-      client_.beginExecute(converted);
-      exchange.result = WaitUntil(deadline);
-      if (exchange.result == ExchangeResult::kComplete) {
-        client_.endExecute();
-        Read(request, exchange);
-      } else {
-        exchange.error = exchange.result == ExchangeResult::kCancelled
-                             ? "cancelled"
-                             : "no response in time";
-        Close();
-      }
-    } catch (const std::exception& error) {
-      exchange.result = ExchangeResult::kBroken;
-      exchange.error = error.what();
+    if (HasControlCharacter(request.path) ||
+        HasControlCharacter(request.method) ||
+        request.path.find(' ') != std::string::npos) {
+      exchange.error = "the path or method is malformed";
+      return exchange;
+    }
+    if (!reuse_connection || !HasConnection())
+      Close();
+    if (fd_ < 0 && Connect(exchange.error) != ExchangeResult::kComplete) {
       Close();
+      return exchange;
     }
-    if (exchange.result != ExchangeResult::kComplete && !connected_ && !sent_)
-      exchange.result = ExchangeResult::kNotSent;
-    cancelled_ = false;
+    ResponseParser parser(request.method);
+    exchange.result = Converse(Serialize(request, server_.ToString()), parser,
+                               exchange.error);
+    if (!parser.keep_alive() || exchange.result != ExchangeResult::kComplete)
+      Close();
+    if (exchange.result == ExchangeResult::kComplete)
+      exchange.response = std::move(parser.response());
     return exchange;
   }
 
-  bool HasConnection() { return IsConnected() && !PeerClosed(); }
+  /// Opens a connection; kTimedOut and kCancelled as for an exchange.
+  ExchangeResult Connect(std::string& error) {
+    SocketAddress address;
+    if (!ToSocketAddress(server_, address)) {
+      error = "not an IP number: " + server_.host;
+      return ExchangeResult::kNotSent;
+    }
+    fd_ = socket(address.storage.ss_family,
+                 SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    setsockopt(fd_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    if (connect(fd_, reinterpret_cast<sockaddr*>(&address.storage),
+                address.size) == 0)
+      return ExchangeResult::kComplete;
+    if (errno == EINPROGRESS) {
+      short ready = 0;
+      const ExchangeResult result = Await(POLLOUT, ready, error);
+      if (result != ExchangeResult::kComplete)
+        return result;
+      int status = 0;
+      socklen_t size = sizeof status;
+      getsockopt(fd_, SOL_SOCKET, SO_ERROR, &status, &size);
+      if (status == 0)
+        return ExchangeResult::kComplete;
+      errno = status;
+    }
+    error = "connect to " + server_.ToString() + ": " + std::strerror(errno);
+    return ExchangeResult::kNotSent;
+  }
+
+  void SetDeadline(milliseconds timeout) {
+    deadline_ = SteadyClock::now() + timeout;
+  }
+
+  bool HasConnection() const {
+    char byte = 0;
+    // Bytes that nobody asked for are as bad as a closed connection.
+    return fd_ >= 0 && recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+           (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
 
   void Cancel() {
     cancelled_ = true;
-    selector_.wake();
+    const std::uint64_t one = 1;
+    [[maybe_unused]] const auto written = write(wakeup_, &one, sizeof one);
   }
 
-  void ResetCancel() { cancelled_ = false; }
+  void ResetCancel() {
+    cancelled_ = false;
+    DrainWakeup();
+  }
 
  private:
-  ExchangeResult WaitUntil(std::chrono::steady_clock::time_point deadline) {
-    while (!finished_) {
-      if (cancelled_)
-        return ExchangeResult::kCancelled;
-      const auto left = std::chrono::ceil<std::chrono::milliseconds>(
-          deadline - std::chrono::steady_clock::now());
-      if (left.count() <= 0)
-        return ExchangeResult::kTimedOut;
-      selector_.wait(ToCxxtools(left));
-      connected_ = connected_ || IsConnected();
-      // cxxtools has begun to open a second connection for the same request.
-      if (sent_ && !finished_ && !IsConnected())
-        throw support::Error("send request", "",
-                             "the connection closed without a response");
+  /// Writes the request and reads the response at the same time, since a server
+  /// may answer before it has read everything.
+  ExchangeResult Converse(const std::string& request,
+                          ResponseParser& parser,
+                          std::string& error) {
+    std::size_t written = 0;
+    while (!parser.complete()) {
+      if (parser.failed()) {
+        error = parser.error();
+        return ExchangeResult::kBroken;
+      }
+      short ready = 0;
+      const bool writing = written < request.size();
+      const ExchangeResult result = Await(
+          static_cast<short>(POLLIN | (writing ? POLLOUT : 0)), ready, error);
+      if (result != ExchangeResult::kComplete)
+        return result;
+      if (writing && (ready & POLLOUT) != 0)
+        Write(request, written);
+      if ((ready & (POLLIN | POLLHUP | POLLERR)) != 0)
+        Read(parser);
     }
+    // The rest of the request would be taken for the next one.
+    if (written < request.size())
+      Close();
     return ExchangeResult::kComplete;
   }
 
-  void OnFinished(cxxtools::http::Client&) { finished_ = true; }
-  void OnSent(cxxtools::http::Client&) { sent_ = true; }
-
-  std::size_t OnBody(cxxtools::http::Client& client) {
-    std::istream& in = client.in();
-    std::size_t total = 0;
-    while (in.rdbuf()->in_avail() > 0) {
-      char buffer[8192];
-      const auto count = in.readsome(buffer, sizeof buffer);
-      if (count <= 0)
-        break;
-      body_.append(buffer, static_cast<std::size_t>(count));
-      total += static_cast<std::size_t>(count);
-    }
-    return total;
+  void Write(const std::string& request, std::size_t& written) const {
+    const auto count = send(fd_, request.data() + written,
+                            request.size() - written, MSG_NOSIGNAL);
+    if (count > 0)
+      written += static_cast<std::size_t>(count);
+    // After an error, reading shows what the server had to say.
   }
 
-  // The stream of the client reads the socket through a buffer that ends with
-  // the body.
-  cxxtools::net::TcpSocket* Socket() {
-    std::streambuf* buffer = client_.in().rdbuf();
-    if (auto* limit =
-            dynamic_cast<cxxtools::BasicLimitStreambuf<char>*>(buffer))
-      buffer = limit->streambuf();
-    auto* stream = dynamic_cast<cxxtools::StreamBuffer*>(buffer);
-    return stream == nullptr
-               ? nullptr
-               : dynamic_cast<cxxtools::net::TcpSocket*>(stream->device());
+  void Read(ResponseParser& parser) const {
+    std::array<char, 16384> buffer;
+    const auto count = recv(fd_, buffer.data(), buffer.size(), 0);
+    if (count > 0)
+      parser.Consume({buffer.data(), static_cast<std::size_t>(count)});
+    else if (count == 0)
+      parser.OnClose();
+    else if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)
+      parser.OnReset();
   }
 
-  bool IsConnected() {
-    const cxxtools::net::TcpSocket* socket = Socket();
-    return socket != nullptr && socket->isConnected();
+  /// Waits until the socket is ready for any of \p events.
+  ExchangeResult Await(short events, short& ready, std::string& error) {
+    while (true) {
+      if (cancelled_) {
+        error = "cancelled";
+        return ExchangeResult::kCancelled;
+      }
+      const auto left =
+          std::chrono::ceil<milliseconds>(deadline_ - SteadyClock::now());
+      if (left.count() <= 0) {
+        error = "no response in time";
+        return ExchangeResult::kTimedOut;
+      }
+      std::array<pollfd, 2> fds{{{fd_, events, 0}, {wakeup_, POLLIN, 0}}};
+      const int count =
+          poll(fds.data(), fds.size(), static_cast<int>(left.count()));
+      ready = fds[0].revents;
+      // A late wake-up of an exchange that has ended.
+      if ((fds[1].revents & POLLIN) != 0 && !cancelled_)
+        DrainWakeup();
+      if (count > 0 && ready != 0 && !cancelled_)
+        return ExchangeResult::kComplete;
+    }
   }
 
-  bool PeerClosed() {
-    if (!IsConnected())
-      return true;
-    char byte = 0;
-    const auto count =
-        recv(Socket()->getFd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    // Bytes that nobody asked for are as bad as a closed connection.
-    return count >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+  void DrainWakeup() const {
+    std::uint64_t count = 0;
+    [[maybe_unused]] const auto bytes = read(wakeup_, &count, sizeof count);
   }
 
-  void Close() { client_.close(); }
-
-  void Read(const Request& request, Exchange& exchange) {
-    const cxxtools::http::Reply& reply = client_.reply();
-    Response& response = exchange.response;
-    response.status = static_cast<int>(reply.httpReturnCode());
-    response.body = std::move(body_);
-    for (const auto& [name, value] : reply.header())
-      response.headers.push_back({name, value});
-    if (!IsWhole(reply.header(), response.body.size(), request.method)) {
-      exchange.result = ExchangeResult::kBroken;
-      exchange.error = "the response body was cut short";
-      Close();
-      return;
-    }
-    if (!reply.header().keepAlive())
-      Close();
+  void Close() {
+    if (fd_ >= 0)
+      close(fd_);
+    fd_ = -1;
   }
 
-  cxxtools::Selector selector_;
-  cxxtools::http::Client client_;
-  std::string body_;
-  // A connection existed at some time during this Send().
-  bool connected_ = false;
-  bool sent_ = false;
-  bool finished_ = false;
+  const support::Address server_;
+  const int wakeup_;
+  int fd_ = -1;
+  SteadyClock::time_point deadline_;
   std::atomic<bool> cancelled_ = false;
 };
 
@@ -215,7 +280,9 @@
 Exchange Client::Send(const Request& request,
                       std::chrono::milliseconds timeout,
                       bool reuse_connection) {
-  return impl_->Send(request, timeout, reuse_connection);
+  Exchange exchange = impl_->Send(request, timeout, reuse_connection);
+  impl_->ResetCancel();
+  return exchange;
 }
 
 bool Client::HasConnection() const {
@@ -231,16 +298,11 @@
 }
 
 bool CanConnect(const support::Address& server) {
-  try {
-    cxxtools::net::TcpSocket socket;
-    socket.setTimeout(ToCxxtools(kConnectProbe));
-    socket.connect(cxxtools::net::AddrInfo(server.host, server.port));
-  } catch (const cxxtools::IOTimeout&) {
-    // A full backlog: something listens but does not accept.
-  } catch (const std::exception&) {
-    return false;
-  }
-  return true;
+  Client::Impl connection(server);
+  connection.SetDeadline(kConnectProbe);
+  std::string error;
+  // With a full backlog something listens but does not accept.
+  return connection.Connect(error) != ExchangeResult::kNotSent;
 }
 
 }  // namespace yuccastair::http
