--- a/unittests/http/client_test.cc
+++ b/unittests/http/client_test.cc
@@ -2,6 +2,7 @@
 
 #include "yuccastair/http/client.h"
 
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <thread>
 
@@ -33,7 +34,7 @@
        {Action::kAnswerShort, ExchangeResult::kBroken},
        {Action::kSilent, ExchangeResult::kTimedOut}}));
   const bool reuse = GENERATE(false, true);
-  int seen = 0;
+  std::atomic<int> seen = 0;
   FakeTarget target(27101, [&, action = action](const std::string&) {
     return ++seen == 2 ? action : Action::kAnswer;
   });
--- a/unittests/node/target_side_test.cc
+++ b/unittests/node/target_side_test.cc
@@ -3,6 +3,7 @@
 
 #include "target_side.h"
 
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <future>
 
@@ -97,7 +98,7 @@
 TEST_CASE("an idempotent call is sent again once, within its budget") {
   const std::uint32_t budget = GENERATE(0, 1, 4);
   const Action action = GENERATE(Action::kClose, Action::kSilent);
-  int seen = 0;
+  std::atomic<int> seen = 0;
   FakeTarget target(27202, [&](const std::string&) {
     return ++seen == 1 ? action : Action::kAnswer;
   });
