--- a/unittests/admission/simulation.h
+++ b/rig/admission_simulation.h
@@ -1,8 +1,8 @@
 // A single-threaded loop of callers, admission and a model target on a manual
 // clock. The same seed gives the same run.
 
-#ifndef YUCCASTAIR_UNITTESTS_ADMISSION_SIMULATION_H_
-#define YUCCASTAIR_UNITTESTS_ADMISSION_SIMULATION_H_
+#ifndef YUCCASTAIR_RIG_ADMISSION_SIMULATION_H_
+#define YUCCASTAIR_RIG_ADMISSION_SIMULATION_H_
 
 #include <algorithm>
 #include <chrono>
@@ -250,4 +250,4 @@
 
 }  // namespace yuccastair::admission
 
-#endif  // YUCCASTAIR_UNITTESTS_ADMISSION_SIMULATION_H_
+#endif  // YUCCASTAIR_RIG_ADMISSION_SIMULATION_H_
--- a/unittests/admission/overload_test.cc
+++ b/unittests/admission/overload_test.cc
@@ -2,7 +2,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "simulation.h"
+#include "admission_simulation.h"
 
 namespace yuccastair::admission {
 namespace {
