Let a new limit grow fast until latency first rises

A limit that starts at 32 took 2 s to reach a target of 200 slots, and lost 27% of the best possible goodput in that time. It grows by half with each window now, as after failures, until latency first rises above the tolerance.

--- a/include/yuccastair/admission/concurrency_limit.h
+++ b/include/yuccastair/admission/concurrency_limit.h
@@ -73,8 +73,9 @@
   LimitOptions options_;
   // Within [options_.min, options_.max].
   double limit_;
-  // The limit before failures lowered it; growth below half of it is fast.
-  double proven_limit_ = 0;
+  // The limit before failures lowered it, or the maximum before latency has
+  // risen for the first time; growth below half of it is fast.
+  double proven_limit_;
   support::Duration baseline_{};
   std::optional<Step> step_;
   support::TimePoint last_step_;
--- a/lib/admission/concurrency_limit.cc
+++ b/lib/admission/concurrency_limit.cc
@@ -64,6 +64,8 @@
     : clock_(clock),
       options_(options),
       limit_(options.initial),
+      // Grows fast until latency first rises.
+      proven_limit_(options.max),
       last_step_(clock.Now()) {
   SetLimit(limit_);
   RestartWindow();
@@ -199,6 +201,8 @@
       std::max<support::Duration>(kStepInterval, kWindowsBetweenSteps * window);
   const bool due = verify_baseline_ || clock_.Now() - last_step_ >= interval;
   if (ratio > kStepTolerance || (used && due)) {
+    if (ratio > kGrowTolerance)
+      proven_limit_ = 0;
     StepDown(kStepFactor);
   } else if (used && ratio <= kGrowTolerance) {
     Grow();
