--- a/unittests/admission/overload_test.cc
+++ b/unittests/admission/overload_test.cc
@@ -54,6 +54,18 @@
   CHECK(GoodShare(simulation.tally(2)) < 0.2);
 }
 
+// Guards against finishing little because new work is started instead.
+TEST_CASE("work in progress is shed after new work") {
+  Simulation simulation{Options()};
+  simulation.SetStreams({{"a", wire::IMPORTANCE_NORMAL, kCapacity * 0.5, 3},
+                         {"a", wire::IMPORTANCE_NORMAL, kCapacity * 3, 1}});
+  simulation.RunFor(3s);
+  simulation.ResetTallies();
+  simulation.RunFor(10s);
+  CHECK(GoodShare(simulation.tally(0)) > 0.999);
+  CHECK(GoodShare(simulation.tally(1)) < 0.3);
+}
+
 // Guards against organisations that take the share of others by sending more.
 TEST_CASE("the fair share of an organisation holds") {
   const double overload = GENERATE(3.0, 10.0);
