--- a/include/yuccastair/consensus/core.h
+++ b/include/yuccastair/consensus/core.h
@@ -41,9 +41,10 @@
   std::size_t snapshot_bytes = 64 << 20;
   /// Entries kept in front of a snapshot for followers slightly behind.
   std::uint64_t retained_entries = 1000;
-  /// Proposals beyond this number of unapplied ones are returned as
-  /// kNotLeader, because nothing was appended.
+  /// Bounds of the proposals that are not applied yet. Those beyond are
+  /// returned as kNotLeader, because nothing was appended.
   std::size_t max_proposals = 65536;
+  std::size_t max_proposal_bytes = 64 << 20;
 };
 
 enum class Role { kFollower, kPreCandidate, kCandidate, kLeader };
--- a/lib/consensus/core.cc
+++ b/lib/consensus/core.cc
@@ -182,6 +182,7 @@
 void Core::Impl::FailProposals() {
   const auto appended = std::exchange(waiting_, {});
   const auto pending = std::exchange(proposals_, {});
+  proposal_bytes_ = 0;
   for (const auto& [index, done] : appended)
     done({.status = ProposeStatus::kUncertain, .index = index, .result = ""});
   for (const Proposal& proposal : pending)
@@ -190,8 +191,10 @@
 
 void Core::Impl::Propose(std::string command, Done done) {
   const std::size_t open = proposals_.size() + waiting_.size();
-  if (!IsCurrentLeader() || open >= options_.max_proposals)
+  if (!IsCurrentLeader() || open >= options_.max_proposals ||
+      proposal_bytes_ >= options_.max_proposal_bytes)
     return done({});
+  proposal_bytes_ += command.size();
   proposals_.push_back({std::move(command), std::move(done)});
 }
 
@@ -231,6 +234,7 @@
       return;
     const Done done = std::move(found->second);
     waiting_.erase(found);
+    proposal_bytes_ -= entry.payload().size();
     done({.status = ProposeStatus::kCommitted,
           .index = entry.index(),
           .result = std::move(result)});
--- a/lib/consensus/core_impl.h
+++ b/lib/consensus/core_impl.h
@@ -186,6 +186,8 @@
   std::uint64_t term_start_index_ = 0;
   std::vector<Proposal> proposals_;
   std::map<std::uint64_t, Done> waiting_;
+  // Of the commands in proposals_ and waiting_.
+  std::size_t proposal_bytes_ = 0;
 
   std::deque<Confirmation> confirmations_;
   TimePoint current_as_of_;
--- a/lib/control/log_runner.cc
+++ b/lib/control/log_runner.cc
@@ -91,8 +91,10 @@
     answer(ProbeReply(correlation, wire::LogProbeReply::STATUS_ANSWERED, 0));
     return;
   }
-  if (payload.size() > kMaxProbeBytes)
+  if (payload.size() > kMaxProbeBytes) {
+    support::LogWarning("log.probe_too_large", {{"bytes", payload.size()}});
     return;
+  }
   core_->Propose(
       EncodeCommand(wire::TABLE_PROBE, payload),
       [this, correlation, answer](const consensus::ProposeOutcome& outcome) {
