--- a/unittests/consensus/cluster_sim.h
+++ b/unittests/consensus/cluster_sim.h
@@ -294,7 +294,9 @@
     for (int copy = 0; copy < copies; ++copy) {
       const int delay =
           Below(100) < disturbance ? Below(2000) : Below(disturbance + 1);
-      in_flight_.emplace(now_ + milliseconds(delay), std::pair(to, message));
+      // At least until the next step.
+      in_flight_.emplace(now_ + milliseconds(1 + delay),
+                         std::pair(to, message));
     }
   }
 
--- a/unittests/consensus/core_test.cc
+++ b/unittests/consensus/core_test.cc
@@ -39,6 +39,21 @@
   CommitOne(sim, sim.Leader());
 }
 
+// Guards against a read from a leader that was stopped and does not know yet
+// that others have moved on.
+TEST_CASE("a stopped leader is not current when it continues") {
+  ClusterSim sim(14, 3, {});
+  const int leader = Elect(sim);
+  sim.at(leader).paused_until = sim.now() + milliseconds(5000);
+  REQUIRE(sim.RunUntil(kLimit, [&] {
+    const int other = sim.Leader();
+    return other >= 0 && other != leader;
+  }));
+  CHECK(sim.at(leader).core->status().role == Role::kLeader);
+  CHECK_FALSE(sim.at(leader).core->IsCurrentLeader());
+  CommitOne(sim, sim.Leader());
+}
+
 // Guards against a process that disturbs a working leader after a partition.
 TEST_CASE("pre-vote keeps the term while a process is cut off") {
   ClusterSim sim(2, 3, {});
@@ -165,6 +180,7 @@
 TEST_CASE("a learner is promoted only once it holds what is committed") {
   CoreOptions options;
   options.snapshot_entries = 20;
+  options.retained_entries = 3;
   options.snapshot_chunk_bytes = 4;
   ClusterSim sim(13, 3, options);
   const int leader = Elect(sim);
