Let a learner without a leader greet again

Cause: the entry that makes a process a learner can reach it and then be replaced by that of another leader. The process believed to be a member, did not greet, and stayed out for good (exploration seed 4764 of 6,000). Ruled out: lost messages and pauses; all processes were up and connected. Change: a learner that hears no leader greets like a process that is no member.

--- a/lib/consensus/core_membership.cc
+++ b/lib/consensus/core_membership.cc
@@ -169,9 +169,12 @@
   return true;
 }
 
-/// A process that is no member makes itself known until it is one.
+/// A process that is no member makes itself known until it is one. The entry
+/// that made it a learner may be replaced by that of another leader, so a
+/// learner without a leader goes on.
 void Core::Impl::SendHellos() {
-  if (FindMember(Self()) || Now() < last_hello_ + options_.hello)
+  if (IsVoter(Self()) || (FindMember(Self()) && HeardFromLeader()) ||
+      Now() < last_hello_ + options_.hello)
     return;
   last_hello_ = Now();
   for (const std::string& address : options_.peers) {
--- a/unittests/consensus/exploration_test.cc
+++ b/unittests/consensus/exploration_test.cc
@@ -82,6 +82,12 @@
       "nothing can be committed after the disturbance has ended");
 }
 
+// The entry that added a learner was replaced, and the learner no longer
+// greeted anybody.
+TEST_CASE("a learner whose entry was replaced is added again") {
+  REQUIRE_NOTHROW(Explore(4764));
+}
+
 TEST_CASE("no seed leads to a loss, a change or a stale read") {
   std::uint64_t first = 1;
   std::uint64_t last = kDefaultSeeds;
