--- a/tools/yuccastair/main.cc
+++ b/tools/yuccastair/main.cc
@@ -16,6 +16,7 @@
 #include "yuccastair/support/id.h"
 #include "yuccastair/support/log.h"
 #include "yuccastair/support/settings_file.h"
+#include "yuccastair/wire/transport.h"
 
 namespace yuccastair {
 namespace {
@@ -31,6 +32,7 @@
   control  run a control process, which holds the durable state
   ctl      operate the fleet through a control process
   check    check a settings file
+  keygen   print a new [curve] section for the processes of a deployment
 
 'yuccastair COMMAND --help' shows the options of a command.
 exit codes: 0 success, 1 runtime failure, 2 usage error or invalid settings,
@@ -142,6 +144,13 @@
   return RunCheck(path, role);
 }
 
+int PrintCurveKeys() {
+  const wire::CurveKeyPair keys = wire::GenerateCurveKeyPair();
+  std::cout << "[curve]\npublic_key = '" << keys.public_key
+            << "'\nsecret_key = '" << keys.secret_key << "'\n";
+  return kExitSuccess;
+}
+
 int Run(int argc, char** argv) {
   const std::string command = argc > 1 ? argv[1] : "";
   if (command == "--help") {
@@ -154,6 +163,8 @@
   }
   if (command == "ctl")
     return RunCtl(argc, argv);
+  if (command == "keygen")
+    return PrintCurveKeys();
   if (command == "node" || command == "control" || command == "check")
     return RunWithConfig(command, argc - 1, argv + 1);
   std::cerr << (command.empty() ? "" : "unknown command " + command + "\n")
