Show the events of a control process with ctl events

Cause: ctl events repeated the history, while the event log of the observe module was not reachable for operators.

Change: GET /v1/events and ctl events show the event log of a control process, which records committed changes and nodes ahead of the log, each once.

--- a/lib/control/control.cc
+++ b/lib/control/control.cc
@@ -14,6 +14,7 @@
 #include "yuccastair/control/single_process_log.h"
 #include "yuccastair/http/server.h"
 #include "yuccastair/membership/registry.h"
+#include "yuccastair/observe/event_log.h"
 #include "yuccastair/state/settings_machine.h"
 #include "yuccastair/state/table_dispatcher.h"
 #include "yuccastair/support/bounded_ring.h"
@@ -50,7 +51,7 @@
       : settings_(std::move(settings)),
         registry_(clock_, settings_.member_expiry),
         log_(tables_, clock_, settings_.peer_listen.ToString()),
-        settings_sync_(settings_table_, log_, clock_),
+        settings_sync_(settings_table_, log_, clock_, event_log_),
         events_(kEventRingCapacity),
         operator_api_(OperatorOptions(),
                       {log_, settings_table_, settings_sync_},
@@ -98,6 +99,7 @@
          i < settings_.operator_peers.size() && i < settings_.peers.size(); ++i)
       options.operator_addresses[settings_.peers[i].ToString()] =
           settings_.operator_peers[i].ToString();
+    options.events = &event_log_;
     options.add_status = [this](nlohmann::json& status) {
       status["nodes"] = registry_.size();
     };
@@ -146,6 +148,7 @@
 
   const Settings settings_;
   const support::SteadyClock clock_;
+  observe::EventLog event_log_;
   // Owned by the core thread.
   membership::Registry registry_;
   state::SettingsMachine settings_table_;
--- a/lib/control/operator_api.cc
+++ b/lib/control/operator_api.cc
@@ -150,6 +150,9 @@
 }
 
 http::Response OperatorApi::Read(const std::string& path, const Query& query) {
+  // The event log may be read by any thread.
+  if (path == "/v1/events")
+    return JsonResponse(200, Events(query));
   return RunOnCore([this, path, query](const Answer& answer) {
     if (path == "/v1/status")
       answer(JsonResponse(200, Status()));
@@ -196,7 +199,9 @@
   }
   core_.log.Propose(
       state::EncodeCommand(wire::TABLE_SETTINGS, change.SerializeAsString()),
-      [this, answer](const consensus::ProposeOutcome& outcome) {
+      [this, answer, author = change.author(),
+       operation_id =
+           change.operation_id()](const consensus::ProposeOutcome& outcome) {
         wire::SettingsResult result;
         switch (outcome.status) {
           case consensus::ProposeStatus::kNotLeader:
@@ -206,8 +211,21 @@
             answer(Uncertain());
             return;
           case consensus::ProposeStatus::kCommitted:
-            answer(result.ParseFromString(outcome.result) ? ToResponse(result)
-                                                          : Uncertain());
+            if (!result.ParseFromString(outcome.result)) {
+              answer(Uncertain());
+              return;
+            }
+            if (options_.events &&
+                result.outcome() == wire::CHANGE_OUTCOME_COMMITTED &&
+                result.version() > recorded_version_) {
+              recorded_version_ = result.version();
+              options_.events->Record("settings.committed",
+                                      "a change of an operator",
+                                      {{"version", result.version()},
+                                       {"author", author},
+                                       {"operation_id", operation_id}});
+            }
+            answer(ToResponse(result));
         }
       });
 }
@@ -274,6 +292,16 @@
                             {"values", std::move(values)}});
 }
 
+Json OperatorApi::Events(const Query& query) const {
+  Json list = Json::array();
+  if (options_.events) {
+    for (const observe::Event& event :
+         options_.events->Since(query.Number("since").value_or(0)))
+      list.push_back(observe::ToJson(event));
+  }
+  return {{"id", options_.id}, {"events", std::move(list)}};
+}
+
 Json OperatorApi::History(const Query& query) const {
   const std::uint64_t limit = std::min(
       query.Number("limit").value_or(kDefaultHistoryLimit), kMaxHistoryLimit);
--- a/lib/control/operator_api.h
+++ b/lib/control/operator_api.h
@@ -15,6 +15,7 @@
 #include "settings_sync.h"
 #include "yuccastair/consensus/state_machine.h"
 #include "yuccastair/http/message.h"
+#include "yuccastair/observe/event_log.h"
 #include "yuccastair/state/settings_machine.h"
 
 namespace yuccastair::control {
@@ -26,6 +27,7 @@
 /// GET  /v1/effective?level=&name=
 /// GET  /v1/history?since=&limit=
 /// GET  /v1/diff?from=&to=
+/// GET  /v1/events?since=
 /// POST /v1/plan     what a change would do
 /// POST /v1/changes  a change: 200 committed, 400 invalid, 409 conflict,
 ///                   504 uncertain, 307 or 503 at a process that is not the
@@ -45,6 +47,8 @@
     /// Adds to the answer of /v1/status; called on the core thread. May be
     /// empty.
     std::function<void(nlohmann::json&)> add_status;
+    /// What this process did by itself; may be null.
+    observe::EventLog* events = nullptr;
   };
 
   /// What the core thread owns.
@@ -74,6 +78,7 @@
   http::Response Change(const http::Request& request, bool plan);
   void Propose(const wire::SettingsChange& change, const Answer& answer);
   http::Response NotLeader() const;
+  nlohmann::json Events(const Query& query) const;
 
   // These run on the core thread.
   nlohmann::json Status() const;
@@ -85,6 +90,9 @@
   const Options options_;
   const Core core_;
   const Post post_;
+  // The last version recorded as an event, so that a resend and a change
+  // without effect add none. Used on the core thread.
+  std::uint64_t recorded_version_ = 0;
 };
 
 }  // namespace yuccastair::control
--- a/lib/control/settings_sync.cc
+++ b/lib/control/settings_sync.cc
@@ -4,16 +4,19 @@
 
 #include <algorithm>
 
-#include "yuccastair/support/log.h"
-
 namespace yuccastair::control {
 
 using std::chrono::milliseconds;
 
 SettingsSync::SettingsSync(const state::SettingsMachine& settings,
                            const consensus::ReplicatedLog& log,
-                           const support::Clock& clock)
-    : settings_(settings), log_(log), clock_(clock), started_at_(clock.Now()) {}
+                           const support::Clock& clock,
+                           observe::EventLog& events)
+    : settings_(settings),
+      log_(log),
+      clock_(clock),
+      events_(events),
+      started_at_(clock.Now()) {}
 
 milliseconds SettingsSync::Age() const {
   const support::TimePoint current = log_.CurrentAsOf();
@@ -36,8 +39,13 @@
   // before, and a state that is current as of a later time contains it.
   if (log_.CurrentAsOf() <= ahead_since_)
     return false;
-  support::LogError("settings.node_ahead", {{"node_version", node_version},
-                                            {"version", settings_.version()}});
+  if (reported_ahead_version_ != node_version) {
+    reported_ahead_version_ = node_version;
+    events_.Record(
+        "settings.node_ahead",
+        "a node holds a version that this log never had; restart it",
+        {{"node_version", node_version}, {"version", settings_.version()}});
+  }
   return true;
 }
 
--- a/lib/control/settings_sync.h
+++ b/lib/control/settings_sync.h
@@ -8,6 +8,7 @@
 
 #include "sync.pb.h"
 #include "yuccastair/consensus/state_machine.h"
+#include "yuccastair/observe/event_log.h"
 #include "yuccastair/state/settings_machine.h"
 #include "yuccastair/support/clock.h"
 
@@ -21,7 +22,8 @@
 
   SettingsSync(const state::SettingsMachine& settings,
                const consensus::ReplicatedLog& log,
-               const support::Clock& clock);
+               const support::Clock& clock,
+               observe::EventLog& events);
 
   /// Fills version, settings, age and leader.
   ///
@@ -44,6 +46,7 @@
   const state::SettingsMachine& settings_;
   const consensus::ReplicatedLog& log_;
   const support::Clock& clock_;
+  observe::EventLog& events_;
   const support::TimePoint started_at_;
   // Set once the state was current after started_at_.
   bool caught_up_ = false;
@@ -51,6 +54,8 @@
   // that was first seen.
   std::uint64_t ahead_version_ = 0;
   support::TimePoint ahead_since_;
+  // The version last reported as an event, so that repeated syncs add none.
+  std::uint64_t reported_ahead_version_ = 0;
 };
 
 }  // namespace yuccastair::control
--- a/lib/ctl/read_commands.cc
+++ b/lib/ctl/read_commands.cc
@@ -173,15 +173,17 @@
   std::uint64_t since =
       ParseNumber(session.arguments.Get("since", "0"), "--since");
   while (true) {
-    const Json body =
-        session.Read("/v1/history?limit=1000&since=" + std::to_string(since));
-    const Json& changes = body["changes"];
-    for (auto record = changes.rbegin(); record != changes.rend(); ++record) {
-      since = std::max(since, record->value("version", std::uint64_t{0}));
+    const Json body = session.Read("/v1/events?since=" + std::to_string(since));
+    for (const Json& event : body["events"]) {
+      since = std::max(since, event.value("number", std::uint64_t{0}));
       if (session.json())
-        session.out() << record->dump() << '\n';
+        session.out() << event.dump() << '\n';
       else
-        PrintRecord(session.out(), *record);
+        session.out() << event.value("number", 0) << "  "
+                      << FormatTime(event.value("at_unix_ms", std::int64_t{0}))
+                      << "  " << event.value("name", "") << "  "
+                      << event.value("fields", Json::object()).dump() << "  "
+                      << event.value("rule", "") << '\n';
     }
     session.out().flush();
     if (!session.arguments.Has("follow") || !session.out().good())
--- a/unittests/control/operator_api_test.cc
+++ b/unittests/control/operator_api_test.cc
@@ -79,14 +79,16 @@
   state::SettingsMachine settings;
   state::TableDispatcher tables;
   FaultyLog log{tables};
-  SettingsSync sync{settings, log, clock};
+  observe::EventLog events;
+  SettingsSync sync{settings, log, clock, events};
   bool core_takes_tasks = true;
   bool core_runs_tasks = true;
   OperatorApi api{{"c1",
                    milliseconds(20),
                    {{"127.0.0.1:2", "127.0.0.1:3"}},
                    [] { return std::int64_t{0}; },
-                   nullptr},
+                   nullptr,
+                   &events},
                   {log, settings, sync},
                   [this](const std::function<void()>& task) {
                     if (core_takes_tasks && core_runs_tasks)
@@ -146,12 +148,16 @@
   core_takes_tasks = true;
   core_runs_tasks = false;
   std::function<void()> late;
-  OperatorApi slow(
-      {"c1", milliseconds(1), {}, [] { return std::int64_t{0}; }, nullptr},
-      {log, settings, sync}, [&](std::function<void()> task) {
-        late = std::move(task);
-        return true;
-      });
+  OperatorApi slow({"c1",
+                    milliseconds(1),
+                    {},
+                    [] { return std::int64_t{0}; },
+                    nullptr,
+                    nullptr},
+                   {log, settings, sync}, [&](std::function<void()> task) {
+                     late = std::move(task);
+                     return true;
+                   });
   http::Request request;
   request.method = "POST";
   request.path = "/v1/changes";
@@ -186,6 +192,8 @@
   CHECK(Get("/v1/diff?from=0&to=9").first == 404);
   CHECK(Get("/v1/diff?from=x").first == 400);
   CHECK(Get("/v1/none").first == 404);
+  CHECK(Get("/v1/events?since=1").second["events"][0]["name"] ==
+        "settings.committed");
 }
 
 // Guards against a version older than the committed one from a process that
@@ -225,6 +233,8 @@
   clock.Advance(milliseconds(10));
   log.current_as_of = clock.Now();
   CHECK(age() > 3'000'000);
+  CHECK(age() > 3'000'000);
+  CHECK(events.Since(0).size() == 1);
   for (int i = 0; i < 7; ++i)
     ApplyNext(settings, {SetFleet(state::kAttempts, 2 + i)});
   CHECK(age() == 0);
@@ -253,15 +263,21 @@
   state::TableDispatcher tables;
   tables.Add(wire::TABLE_SETTINGS, settings);
   SingleProcessLog log(tables, clock, "127.0.0.1:1");
-  const SettingsSync sync(settings, log, clock);
+  observe::EventLog events;
+  const SettingsSync sync(settings, log, clock, events);
   std::mutex core;
-  OperatorApi api(
-      {"c1", milliseconds(20000), {}, [] { return std::int64_t{0}; }, nullptr},
-      {log, settings, sync}, [&](const std::function<void()>& task) {
-        std::lock_guard lock(core);
-        task();
-        return true;
-      });
+  OperatorApi api({"c1",
+                   milliseconds(20000),
+                   {},
+                   [] { return std::int64_t{0}; },
+                   nullptr,
+                   nullptr},
+                  {log, settings, sync},
+                  [&](const std::function<void()>& task) {
+                    std::lock_guard lock(core);
+                    task();
+                    return true;
+                  });
   constexpr int kOperators = 8;
   std::vector<int> statuses(kOperators);
   std::vector<std::thread> operators;
