--- a/lib/control/control.cc
+++ b/lib/control/control.cc
@@ -5,18 +5,25 @@
 #include <chrono>
 #include <functional>
 #include <optional>
+#include <set>
 #include <thread>
 #include <utility>
 #include <variant>
 
+#include "claim_service.h"
+#include "crash_service.h"
+#include "log_runner.h"
 #include "operator_api.h"
+#include "rate_service.h"
 #include "settings_sync.h"
-#include "yuccastair/control/single_process_log.h"
+#include "sync_service.h"
+#include "yuccastair/claims/claim_table.h"
+#include "yuccastair/claims/fingerprint_table.h"
 #include "yuccastair/http/server.h"
 #include "yuccastair/membership/registry.h"
 #include "yuccastair/observe/event_log.h"
+#include "yuccastair/rates/ledger_record.h"
 #include "yuccastair/state/settings_machine.h"
-#include "yuccastair/state/table_dispatcher.h"
 #include "yuccastair/support/bounded_ring.h"
 #include "yuccastair/support/log.h"
 #include "yuccastair/wire/transport.h"
@@ -25,7 +32,9 @@
 namespace {
 
 constexpr std::size_t kEventRingCapacity = 16384;
-constexpr std::chrono::milliseconds kCoreTick{20};
+constexpr std::chrono::milliseconds kCoreTick{10};
+// Bounds the messages that share one sync of the log.
+constexpr int kMaxBatch = 256;
 constexpr std::size_t kOperatorRequests = 16;
 constexpr std::size_t kMaxChangeBytes = std::size_t{4} << 20;
 
@@ -34,8 +43,13 @@
   wire::Envelope envelope;
 };
 
+struct PeerAnswer {
+  std::string address;
+  wire::Envelope envelope;
+};
+
 /// What the core thread takes from its ring.
-using CoreEvent = std::variant<PeerRequest, std::function<void()>>;
+using CoreEvent = std::variant<PeerRequest, PeerAnswer, std::function<void()>>;
 
 std::int64_t WallClockMs() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -50,8 +64,16 @@
   explicit Impl(Settings settings)
       : settings_(std::move(settings)),
         registry_(clock_, settings_.member_expiry),
-        log_(tables_, clock_, settings_.peer_listen.ToString()),
+        log_(settings_,
+             clock_,
+             [this](const std::string& address, wire::Envelope envelope) {
+               transport_.Send(address, std::move(envelope));
+             }),
         settings_sync_(settings_table_, log_, clock_, event_log_),
+        rate_service_(log_, clock_, Limits()),
+        claim_service_(log_, claim_table_, clock_),
+        crash_service_(log_, fingerprint_table_, clock_),
+        sync_service_(SyncOptions(), registry_, clock_),
         events_(kEventRingCapacity),
         operator_api_(OperatorOptions(),
                       {log_, settings_table_, settings_sync_},
@@ -59,8 +81,11 @@
                         return events_.TryPush(std::move(task));
                       }),
         transport_(TransportOptions(), TransportHandlers()) {
-    tables_.Add(wire::TABLE_SETTINGS, settings_table_);
-    core_ = std::thread([this] { Run(); });
+    log_.Register(wire::TABLE_SETTINGS, settings_table_);
+    log_.Register(wire::TABLE_RATES, ledger_record_);
+    log_.Register(wire::TABLE_CLAIMS, claim_table_);
+    log_.Register(wire::TABLE_FINGERPRINTS, fingerprint_table_);
+    core_ = std::thread([this] { RunOrExit([this] { Run(); }); });
     operator_server_.emplace(OperatorServerOptions());
     support::LogInfo("control.started",
                      {{"peer_listen", settings_.peer_listen.ToString()}});
@@ -86,11 +111,36 @@
                 [this](const wire::ReplyRoute& route, wire::Envelope envelope) {
                   events_.TryPush(PeerRequest{route, std::move(envelope)});
                 },
-            .on_answer = nullptr,
+            .on_answer =
+                [this](const std::string& address, wire::Envelope envelope) {
+                  events_.TryPush(PeerAnswer{address, std::move(envelope)});
+                },
             .on_undelivered = nullptr,
             .on_tick = nullptr};
   }
 
+  SyncService::Options SyncOptions() {
+    SyncService::Options options;
+    for (const support::Address& peer : settings_.peers) {
+      if (peer != settings_.peer_listen)
+        options.peers.push_back(peer.ToString());
+    }
+    options.send_pull = [this](const std::string& peer, std::uint64_t number,
+                               const wire::MembershipPull& pull) {
+      wire::Envelope envelope;
+      envelope.set_correlation(number);
+      *envelope.mutable_membership_pull() = pull;
+      transport_.Send(peer, std::move(envelope));
+    };
+    options.fill = [this](const wire::SyncRequest& sync,
+                          wire::SyncReply& reply) {
+      settings_sync_.Fill(sync, reply);
+      fingerprint_table_.FillUpdate(sync.fingerprint_version(),
+                                    *reply.mutable_fingerprints());
+    };
+    return options;
+  }
+
   OperatorApi::Options OperatorOptions() {
     OperatorApi::Options options;
     options.id = settings_.id;
@@ -123,38 +173,121 @@
 
   // The core thread owns all state.
   void Run() {
+    log_.Start();
     while (!events_.closed()) {
-      if (auto event = events_.Pop(kCoreTick))
+      auto event = events_.Pop(kCoreTick);
+      for (int i = 0; event; ++i) {
         std::visit([this](auto& held) { Handle(held); }, *event);
-      registry_.RemoveExpired();
+        event = i < kMaxBatch ? events_.TryPop() : std::nullopt;
+      }
+      FollowZones();
+      sync_service_.Tick();
+      rate_service_.Tick();
+      claim_service_.Tick();
+      crash_service_.Tick();
+      log_.Flush();
     }
   }
 
   static void Handle(const std::function<void()>& task) { task(); }
 
+  rates::LimitLookup Limits() const {
+    return [this](const std::string& organisation)
+               -> std::optional<rates::RateLimit> {
+      const wire::SettingsEntry* entry =
+          settings_table_.tree().Find("organisation/" + organisation);
+      if (entry == nullptr)
+        return std::nullopt;
+      return rates::RateLimit{entry->organisation().rate(),
+                              entry->organisation().burst()};
+    };
+  }
+
   void Handle(const PeerRequest& request) {
-    if (!request.envelope.has_sync_request())
+    const auto answer_log = [this,
+                             route = request.route](wire::Envelope envelope) {
+      transport_.Reply(route, std::move(envelope));
+    };
+    if (log_.Handle(request.envelope, answer_log))
       return;
-    const wire::SyncRequest& sync = request.envelope.sync_request();
-    registry_.Report(sync.self());
     wire::Envelope answer;
     answer.set_correlation(request.envelope.correlation());
-    wire::SyncReply* reply = answer.mutable_sync_reply();
-    settings_sync_.Fill(sync, *reply);
-    for (const wire::FollowedService& followed : sync.followed())
-      registry_.FillReply(followed.service(), followed.revision(), *reply);
+    if (request.envelope.has_rate_request()) {
+      *answer.mutable_rate_grant() =
+          rate_service_.Handle(request.envelope.rate_request());
+      transport_.Reply(request.route, std::move(answer));
+      return;
+    }
+    if (request.envelope.has_claim_request()) {
+      claim_service_.Handle(
+          request.envelope.claim_request(),
+          [this, route = request.route,
+           answer = std::move(answer)](const wire::ClaimReply& reply) mutable {
+            *answer.mutable_claim_reply() = reply;
+            transport_.Reply(route, std::move(answer));
+          });
+      return;
+    }
+    if (request.envelope.has_crash_report()) {
+      crash_service_.Handle(
+          request.envelope.crash_report(),
+          [this, route = request.route, answer = std::move(answer)](
+              const wire::CrashReportReply& reply) mutable {
+            *answer.mutable_crash_report_reply() = reply;
+            transport_.Reply(route, std::move(answer));
+          });
+      return;
+    }
+    if (request.envelope.has_membership_pull()) {
+      *answer.mutable_membership_delta() =
+          sync_service_.Handle(request.envelope.membership_pull());
+      transport_.Reply(request.route, std::move(answer));
+      return;
+    }
+    if (!request.envelope.has_sync_request())
+      return;
+    *answer.mutable_sync_reply() =
+        sync_service_.Handle(request.envelope.sync_request());
     transport_.Reply(request.route, std::move(answer));
   }
 
+  void Handle(const PeerAnswer& answer) {
+    if (answer.envelope.has_membership_delta())
+      sync_service_.HandleDelta(answer.address, answer.envelope.correlation(),
+                                answer.envelope.membership_delta());
+  }
+
+  /// Follows the zones that operators have taken out of service.
+  void FollowZones() {
+    if (settings_table_.version() == zones_version_)
+      return;
+    zones_version_ = settings_table_.version();
+    std::set<std::string> zones;
+    const auto& entries = settings_table_.tree().entries();
+    for (auto it = entries.lower_bound("zone/"); it != entries.end(); ++it) {
+      if (!it->second.has_zone_out())
+        break;
+      zones.insert(it->second.zone_out().name());
+    }
+    registry_.SetZonesOut(zones);
+  }
+
   const Settings settings_;
   const support::SteadyClock clock_;
   observe::EventLog event_log_;
   // Owned by the core thread.
   membership::Registry registry_;
   state::SettingsMachine settings_table_;
-  state::TableDispatcher tables_;
-  SingleProcessLog log_;
+  rates::LedgerRecord ledger_record_;
+  claims::ClaimTable claim_table_;
+  claims::FingerprintTable fingerprint_table_;
+  LogRunner log_;
   SettingsSync settings_sync_;
+  RateService rate_service_;
+  ClaimService claim_service_;
+  CrashService crash_service_;
+  SyncService sync_service_;
+  std::uint64_t zones_version_ = 0;
   support::BoundedRing<CoreEvent> events_;
   OperatorApi operator_api_;
   wire::Transport transport_;
--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -9,6 +9,8 @@
 #include "entry.h"
 #include "fleet_view.h"
 #include "forwarder.h"
+#include "leader_channel.h"
+#include "leader_hint.h"
 #include "observer.h"
 #include "running_calls.h"
 #include "settings_view.h"
@@ -45,6 +47,13 @@
   return texts;
 }
 
+std::uint64_t WallClockMs() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
 /// Hands the target the span of its own node as the parent of its spans.
 void ReplaceTraceparent(const observe::TraceContext& context,
                         wire::CallRequest& call) {
@@ -67,17 +76,23 @@
   explicit Impl(Settings settings)
       : settings_(std::move(settings)),
         incarnation_(support::RandomId()),
+        started_ms_(WallClockMs()),
+        leader_(ToStrings(settings_.controls)),
         observer_(settings_),
         target_(settings_.target_workers, running_),
         transport_(TransportOptions(), TransportHandlers()),
+        leader_channel_(leader_, transport_, pending_),
+        crashes_(leader_channel_),
         sync_(SyncOptions(), transport_, pending_),
         forwarder_(fleet_, transport_, pending_, [this] { sync_.Wake(); }),
         authoriser_(shared_settings_,
                     clock_,
                     [this] { return sync_.fresh_at(); }),
+        rates_(settings_.id, incarnation_, leader_channel_),
+        claims_(leader_channel_),
         entry_(settings_,
-               {authoriser_, rates_, claims_, forwarder_, running_, target_,
-                observer_}),
+               {authoriser_, rates_, claims_, crashes_, forwarder_, running_,
+                target_, observer_}),
         target_server_(TargetServerOptions()),
         caller_server_(CallerServerOptions()) {
     support::LogInfo("node.started",
@@ -168,14 +183,18 @@
             .apply =
                 [this](const wire::SyncReply& reply) {
                   fleet_.Apply(reply);
+                  leader_.Set(reply.leader_address());
+                  crashes_.Apply(reply.fingerprints());
                   return shared_settings_.Apply(reply);
                 }};
   }
 
-  void FillSync(wire::SyncRequest& request) const {
+  void FillSync(wire::SyncRequest& request) {
     wire::Member* self = request.mutable_self();
     self->set_node_id(settings_.id);
     self->set_incarnation(incarnation_);
+    self->set_started_ms(started_ms_);
+    self->set_sequence(++reports_);
     self->set_availability_zone(settings_.availability_zone);
     self->set_address(settings_.peer_listen.ToString());
     self->set_state(wire::TARGET_STATE_DOWN);
@@ -186,6 +205,7 @@
     if (leaving_)
       self->set_state(wire::TARGET_STATE_LEAVING);
     request.set_settings_version(shared_settings_.VersionToReport());
+    request.set_fingerprint_version(crashes_.version());
     fleet_.FillRequest(request);
   }
 
@@ -221,14 +241,20 @@
   const Settings settings_;
   const support::SteadyClock clock_;
   const std::string incarnation_;
+  const std::uint64_t started_ms_;
+  // Used by the sync thread alone.
+  std::uint64_t reports_ = 0;
   SettingsView shared_settings_;
   std::atomic<bool> leaving_ = false;
+  LeaderHint leader_;
   Observer observer_;
   wire::PendingCalls pending_;
   RunningCalls running_;
   FleetView fleet_;
   TargetSide target_;
   wire::Transport transport_;
+  LeaderChannel leader_channel_;
+  CrashGuard crashes_;
   SyncClient sync_;
   Forwarder forwarder_;
   Authoriser authoriser_;
--- a/tools/yuccastair/main.cc
+++ b/tools/yuccastair/main.cc
@@ -161,10 +161,10 @@
     std::cout << "yuccastair " << YUCCASTAIR_VERSION << '\n';
     return kExitSuccess;
   }
-  if (command == "ctl")
-    return RunCtl(argc, argv);
   if (command == "keygen")
     return PrintCurveKeys();
+  if (command == "ctl")
+    return RunCtl(argc, argv);
   if (command == "node" || command == "control" || command == "check")
     return RunWithConfig(command, argc - 1, argv + 1);
   std::cerr << (command.empty() ? "" : "unknown command " + command + "\n")
--- a/unittests/ctl/fleet_test.cc
+++ b/unittests/ctl/fleet_test.cc
@@ -12,8 +12,8 @@
 #include <sstream>
 #include <thread>
 
+#include "control_fixture.h"
 #include "temporary_dir.h"
-#include "yuccastair/control/control.h"
 #include "yuccastair/ctl/ctl.h"
 #include "yuccastair/http/client.h"
 #include "yuccastair/http/server.h"
@@ -39,15 +39,6 @@
   return {"127.0.0.1", 26305};
 }
 
-control::Settings ControlSettings() {
-  control::Settings settings;
-  settings.id = "c1";
-  settings.operator_listen = {"127.0.0.1", 26300};
-  settings.peer_listen = {"127.0.0.1", 26301};
-  settings.member_expiry = milliseconds(3000);
-  return settings;
-}
-
 node::Settings NodeSettings() {
   node::Settings settings;
   settings.id = "n1";
@@ -169,7 +160,7 @@
   const StandardErrorFile log((dir.path() / "log").string());
   support::InitLog(support::LogLevel::kDebug, "test", "t1");
   const Target target;
-  auto control = std::make_unique<control::Control>(ControlSettings());
+  RunningControl control(26300);
   auto node = std::make_unique<node::Node>(NodeSettings());
   const std::string announcement =
       R"({"service":"orders","incarnation":"1","state":"up","address":")" +
@@ -199,7 +190,7 @@
 
   // A restarted node holds no settings, so without control processes it serves
   // nothing.
-  control.reset();
+  control.Stop();
   node.reset();
   node = std::make_unique<node::Node>(NodeSettings());
   CHECK(Send(CallerPort(), "GET", "/orders/1", keyed) == 503);
--- a/unittests/ctl/resend_test.cc
+++ b/unittests/ctl/resend_test.cc
@@ -5,7 +5,7 @@
 #include <sstream>
 #include <thread>
 
-#include "yuccastair/control/control.h"
+#include "control_fixture.h"
 #include "yuccastair/ctl/ctl.h"
 #include "yuccastair/http/client.h"
 #include "yuccastair/http/server.h"
@@ -18,15 +18,6 @@
 
 constexpr milliseconds kLongWait{20000};
 
-control::Settings ControlSettings(std::uint16_t port) {
-  control::Settings settings;
-  settings.id = "c1";
-  settings.operator_listen = {"127.0.0.1", port};
-  settings.peer_listen = {"127.0.0.1", static_cast<std::uint16_t>(port + 1)};
-  settings.member_expiry = milliseconds(3000);
-  return settings;
-}
-
 http::Server::Options Serve(std::uint16_t port, http::Server::Handler handler) {
   http::Server::Options options;
   options.listen = {"127.0.0.1", port};
@@ -86,7 +77,7 @@
 // Guards against a change that takes effect twice, or is reported as a
 // conflict with itself, because its first answer was lost.
 TEST_CASE("a change is sent again under its operation id") {
-  const control::Control control(ControlSettings(26200));
+  const RunningControl control(26200);
   const LossyInterface interface(26205, 26200, 1);
   const auto [code, text] =
       RunCtl({"set", "fleet", "attempts=3"}, "127.0.0.1:26205");
@@ -99,7 +90,7 @@
 }
 
 TEST_CASE("an answer that never comes is reported as uncertain") {
-  const control::Control control(ControlSettings(26210));
+  const RunningControl control(26210);
   const LossyInterface interface(26215, 26210, 1000);
   const auto [code, text] =
       RunCtl({"set", "fleet", "attempts=3", "--operation-id", "op"},
@@ -114,7 +105,7 @@
 }
 
 TEST_CASE("a follower's hint leads to the leader") {
-  const control::Control leader(ControlSettings(26220));
+  const RunningControl leader(26220);
   const http::Server follower(
       Serve(26225, [](const http::Request& request) -> http::Response {
         if (request.method == "GET")
@@ -138,7 +129,7 @@
 }
 
 TEST_CASE("of operators that act at the same time each gets one outcome") {
-  const control::Control control(ControlSettings(26240));
+  const RunningControl control(26240);
   constexpr int kOperators = 6;
   std::vector<int> codes(kOperators);
   std::vector<std::thread> operators;
