Move the log of one process to the tests

Cause: the control process uses the replicated log now, so nothing that ships needs a log without a disk.

Checked: control_operator_api_test passes.

--- a/unittests/control/operator_api_test.cc
+++ b/unittests/control/operator_api_test.cc
@@ -6,8 +6,8 @@
 #include <catch2/catch.hpp>
 #include <thread>
 
+#include "control/single_process_log.h"
 #include "settings_changes.h"
-#include "yuccastair/control/single_process_log.h"
 #include "yuccastair/state/json.h"
 #include "yuccastair/state/table_dispatcher.h"
 
--- a/include/yuccastair/control/single_process_log.h
+++ b/unittests/control/single_process_log.h
@@ -1,7 +1,7 @@
 // A replicated log of one process, without a disk.
 
-#ifndef YUCCASTAIR_CONTROL_SINGLE_PROCESS_LOG_H_
-#define YUCCASTAIR_CONTROL_SINGLE_PROCESS_LOG_H_
+#ifndef YUCCASTAIR_UNITTESTS_CONTROL_SINGLE_PROCESS_LOG_H_
+#define YUCCASTAIR_UNITTESTS_CONTROL_SINGLE_PROCESS_LOG_H_
 
 #include <cstdint>
 #include <string>
@@ -13,7 +13,7 @@
 namespace yuccastair::control {
 
 /// Applies each command at once. Nothing survives the process, so it serves
-/// tests and trials only.
+/// tests only.
 class SingleProcessLog final : public consensus::ReplicatedLog {
  public:
   SingleProcessLog(consensus::StateMachine& machine,
@@ -39,4 +39,4 @@
 
 }  // namespace yuccastair::control
 
-#endif  // YUCCASTAIR_CONTROL_SINGLE_PROCESS_LOG_H_
+#endif  // YUCCASTAIR_UNITTESTS_CONTROL_SINGLE_PROCESS_LOG_H_
