--- a/unittests/ctl/sessions_test.cc
+++ b/unittests/ctl/sessions_test.cc
@@ -12,8 +12,7 @@
 #include <regex>
 #include <sstream>
 
-#include "leading_control.h"
-#include "yuccastair/control/control.h"
+#include "control_fixture.h"
 #include "yuccastair/ctl/ctl.h"
 
 namespace yuccastair::ctl {
@@ -81,17 +80,6 @@
   int count_ = 0;
 };
 
-control::Settings ControlSettings(std::uint16_t port) {
-  control::Settings settings;
-  settings.id = "c1";
-  settings.availability_zone = "a";
-  settings.operator_listen = {"127.0.0.1", port};
-  settings.peer_listen = {"127.0.0.1", static_cast<std::uint16_t>(port + 1)};
-  settings.peers = {settings.peer_listen};
-  settings.member_expiry = std::chrono::milliseconds(3000);
-  return settings;
-}
-
 // Guards against a change of what operators see and scripts depend on.
 TEST_CASE("ctl sessions print what the golden files say") {
   const auto [name, port] = GENERATE(table<const char*, std::uint16_t>({
@@ -101,7 +89,7 @@
       {"usage.txt", 26130},
   }));
   CAPTURE(name);
-  const LeadingControl control(ControlSettings(port));
+  const RunningControl control(port);
   std::ifstream in(GoldenDir() / name);
   REQUIRE(in);
   const std::string wanted{std::istreambuf_iterator<char>(in), {}};
