Fix lint findings in rates, claims and membership

Cause: clang-tidy reported copies that could be moves or references, an implicit widening and a const member without an initialiser.

--- a/benchmarks/rates_benchmark.cc
+++ b/benchmarks/rates_benchmark.cc
@@ -29,6 +29,7 @@
       },
       rates::RateLedger::Predecessor::kNone, 1);
   std::vector<std::unique_ptr<rates::TokenLeases>> leases;
+  leases.reserve(nodes);
   std::vector<double> due(nodes, 0);
   for (int i = 0; i < nodes; ++i)
     leases.push_back(std::make_unique<rates::TokenLeases>(
--- a/lib/claims/claim_table.cc
+++ b/lib/claims/claim_table.cc
@@ -63,7 +63,7 @@
 
 wire::ClaimResult ClaimTable::ApplyClaim(
     const wire::ClaimOperation& operation) {
-  const wire::ClaimResult result = Peek(operation);
+  wire::ClaimResult result = Peek(operation);
   if (result.status() != wire::CLAIM_STATUS_GRANTED ||
       by_key_.count(operation.key()) != 0)
     return result;
--- a/lib/control/rate_service.cc
+++ b/lib/control/rate_service.cc
@@ -63,21 +63,22 @@
   starting_ = true;
   const std::uint64_t leadership = leadership_;
   const std::uint64_t epoch = RandomEpoch();
-  log_.Propose(EncodeMark(epoch, false), [this, leadership, epoch](
-                                             consensus::ProposeOutcome done) {
-    if (leadership != leadership_)
-      return;
-    starting_ = false;
-    if (done.status != consensus::ProposeStatus::kCommitted ||
-        !log_.IsCurrentLeader())
-      return;
-    const Predecessor predecessor = ReadPredecessor(done.result);
-    ledger_.emplace(clock_, limits_, predecessor, epoch);
-    marked_settled_ = false;
-    support::LogInfo(
-        "rates.ledger_started",
-        {{"settled_predecessor", predecessor != Predecessor::kUnsettled}});
-  });
+  log_.Propose(
+      EncodeMark(epoch, false),
+      [this, leadership, epoch](const consensus::ProposeOutcome& done) {
+        if (leadership != leadership_)
+          return;
+        starting_ = false;
+        if (done.status != consensus::ProposeStatus::kCommitted ||
+            !log_.IsCurrentLeader())
+          return;
+        const Predecessor predecessor = ReadPredecessor(done.result);
+        ledger_.emplace(clock_, limits_, predecessor, epoch);
+        marked_settled_ = false;
+        support::LogInfo(
+            "rates.ledger_started",
+            {{"settled_predecessor", predecessor != Predecessor::kUnsettled}});
+      });
 }
 
 void RateService::MarkSettled() {
--- a/lib/node/fleet_view.h
+++ b/lib/node/fleet_view.h
@@ -50,7 +50,7 @@
 
   static void ApplyTo(Service& service, const wire::ServiceMembers& report);
 
-  const support::SteadyClock clock_;
+  const support::SteadyClock clock_{};
   mutable std::mutex mutex_;
   std::map<std::string, Service> services_;
   std::optional<support::TimePoint> applied_at_;
--- a/lib/rates/ledger_record.cc
+++ b/lib/rates/ledger_record.cc
@@ -8,7 +8,7 @@
 
 std::string LedgerRecord::Apply(std::uint64_t /*index*/,
                                 const std::string& command) {
-  const std::string before = mark_.SerializeAsString();
+  std::string before = mark_.SerializeAsString();
   wire::LedgerMark mark;
   if (!mark.ParseFromString(command) || mark.epoch() == 0)
     return before;
--- a/unittests/claims/fingerprint_table_test.cc
+++ b/unittests/claims/fingerprint_table_test.cc
@@ -107,7 +107,7 @@
   std::mt19937 random(1);
   FingerprintTable table({.retention = milliseconds(300), .changes = 20});
   std::vector<NodeList> nodes(5);
-  for (int t = 0; t < 5000; ++t) {
+  for (std::uint64_t t = 0; t < 5000; ++t) {
     Apply(table, kReport, "f" + std::to_string(random() % 20),
           "t" + std::to_string(random() % 5), t * 5);
     if (random() % 500 == 0) {
