--- a/lib/control/control.cc
+++ b/lib/control/control.cc
@@ -12,18 +12,17 @@
 
 #include "claim_service.h"
 #include "crash_service.h"
+#include "log_runner.h"
 #include "operator_api.h"
 #include "rate_service.h"
 #include "settings_sync.h"
 #include "sync_service.h"
 #include "yuccastair/claims/claim_table.h"
 #include "yuccastair/claims/fingerprint_table.h"
-#include "yuccastair/control/single_process_log.h"
 #include "yuccastair/http/server.h"
 #include "yuccastair/membership/registry.h"
 #include "yuccastair/rates/ledger_record.h"
 #include "yuccastair/state/settings_machine.h"
-#include "yuccastair/state/table_dispatcher.h"
 #include "yuccastair/support/bounded_ring.h"
 #include "yuccastair/support/log.h"
 #include "yuccastair/wire/transport.h"
@@ -32,7 +31,9 @@
 namespace {
 
 constexpr std::size_t kEventRingCapacity = 16384;
-constexpr std::chrono::milliseconds kCoreTick{20};
+constexpr std::chrono::milliseconds kCoreTick{10};
+// Bounds the messages that share one sync of the log.
+constexpr int kMaxBatch = 256;
 constexpr std::size_t kOperatorRequests = 16;
 constexpr std::size_t kMaxChangeBytes = std::size_t{4} << 20;
 
@@ -62,7 +63,11 @@
   explicit Impl(Settings settings)
       : settings_(std::move(settings)),
         registry_(clock_, settings_.member_expiry),
-        log_(tables_, clock_, settings_.peer_listen.ToString()),
+        log_(settings_,
+             clock_,
+             [this](const std::string& address, wire::Envelope envelope) {
+               transport_.Send(address, std::move(envelope));
+             }),
         settings_sync_(settings_table_, log_, clock_),
         rate_service_(log_, clock_, Limits()),
         claim_service_(log_, claim_table_, clock_),
@@ -75,11 +80,11 @@
                         return events_.TryPush(std::move(task));
                       }),
         transport_(TransportOptions(), TransportHandlers()) {
-    tables_.Add(wire::TABLE_SETTINGS, settings_table_);
-    tables_.Add(wire::TABLE_RATES, ledger_record_);
-    tables_.Add(wire::TABLE_CLAIMS, claim_table_);
-    tables_.Add(wire::TABLE_FINGERPRINTS, fingerprint_table_);
-    core_ = std::thread([this] { Run(); });
+    log_.Register(wire::TABLE_SETTINGS, settings_table_);
+    log_.Register(wire::TABLE_RATES, ledger_record_);
+    log_.Register(wire::TABLE_CLAIMS, claim_table_);
+    log_.Register(wire::TABLE_FINGERPRINTS, fingerprint_table_);
+    core_ = std::thread([this] { RunOrExit([this] { Run(); }); });
     operator_server_.emplace(OperatorServerOptions());
     support::LogInfo("control.started",
                      {{"peer_listen", settings_.peer_listen.ToString()}});
@@ -166,14 +171,19 @@
 
   // The core thread owns all state.
   void Run() {
+    log_.Start();
     while (!events_.closed()) {
-      if (auto event = events_.Pop(kCoreTick))
+      auto event = events_.Pop(kCoreTick);
+      for (int i = 0; event; ++i) {
         std::visit([this](auto& held) { Handle(held); }, *event);
+        event = i < kMaxBatch ? events_.TryPop() : std::nullopt;
+      }
       FollowZones();
       sync_service_.Tick();
       rate_service_.Tick();
       claim_service_.Tick();
       crash_service_.Tick();
+      log_.Flush();
     }
   }
 
@@ -192,6 +202,12 @@
   }
 
   void Handle(const PeerRequest& request) {
+    const auto answer_log = [this,
+                             route = request.route](wire::Envelope envelope) {
+      transport_.Reply(route, std::move(envelope));
+    };
+    if (log_.Handle(request.envelope, answer_log))
+      return;
     wire::Envelope answer;
     answer.set_correlation(request.envelope.correlation());
     if (request.envelope.has_rate_request()) {
@@ -262,8 +278,7 @@
   rates::LedgerRecord ledger_record_;
   claims::ClaimTable claim_table_;
   claims::FingerprintTable fingerprint_table_;
-  state::TableDispatcher tables_;
-  SingleProcessLog log_;
+  LogRunner log_;
   SettingsSync settings_sync_;
   RateService rate_service_;
   ClaimService claim_service_;
