Set up organisations, keys and routes for experiments over the operator API

Cause: nodes now authorise from settings, so an experiment needs them.

Change: a replaceable setup program that uses the operator API.

--- a/rig/experiment.cc
+++ b/rig/experiment.cc
@@ -81,7 +81,10 @@
   add("system", "nodes, naive, limit or direct", text("nodes"));
   add("binary", "yuccastair binary, of this or an earlier version",
       text("build/tools/yuccastair/yuccastair"));
-  add("operate", "program for settings and zones", text(""));
+  add("operate",
+      "program for settings and zones, none for none; operate beside this one "
+      "by default",
+      text(""));
   add("out", "folder for results, settings and logs", text("out/experiment"));
   add("seed", "overrides the seed", cxxopts::value<std::uint64_t>());
   add("load", "overrides the load", cxxopts::value<double>());
@@ -100,6 +103,10 @@
   options.binary = parsed["binary"].as<std::string>();
   options.operate = parsed["operate"].as<std::string>();
   options.rig = RigFolder(argv[0]);
+  if (options.operate.empty())
+    options.operate = options.rig + "/operate";
+  else if (options.operate == "none")
+    options.operate.clear();
   options.directory =
       std::filesystem::absolute(parsed["out"].as<std::string>()).string();
   Plan plan = ReadPlan(options.plan_file);
--- a/rig/fleet.cc
+++ b/rig/fleet.cc
@@ -69,8 +69,7 @@
     StartTarget(instance);
   if (options_.kind == SystemKind::kNodes && !options_.operate.empty()) {
     keys_file_ = options_.directory + "/keys.json";
-    if (!Operate({"setup", options_.plan_file,
-                  controls_.front().operator_listen.ToString(), keys_file_}))
+    if (!Operate({"setup", options_.plan_file, Operators(), keys_file_}))
       throw support::Error("start fleet", options_.operate,
                            "the setup step failed");
   }
@@ -228,6 +227,13 @@
   return processes_.Wait("driver", limit) == 0;
 }
 
+std::string Fleet::Operators() const {
+  std::string list;
+  for (const ControlInstance& control : controls_)
+    list += (list.empty() ? "" : ",") + control.operator_listen.ToString();
+  return list;
+}
+
 bool Fleet::Operate(const std::vector<std::string>& words) {
   std::vector<std::string> command = {options_.operate};
   command.insert(command.end(), words.begin(), words.end());
@@ -244,8 +250,7 @@
 bool Fleet::Do(const FaultPlan& fault) {
   if (fault.kind == "zone-out" || fault.kind == "zone-in")
     return !options_.operate.empty() &&
-           Operate({fault.kind, fault.zone,
-                    controls_.front().operator_listen.ToString()});
+           Operate({fault.kind, fault.zone, Operators()});
   int signal = 0;
   if (fault.kind == "kill")
     signal = SIGKILL;
--- a/rig/fleet.h
+++ b/rig/fleet.h
@@ -33,8 +33,7 @@
   /// Folder of the programs of the rig.
   std::string rig;
   /// Program that makes settings, organisations, keys and routes; empty for
-  /// none. Called as: COMMAND setup PLAN OPERATOR KEYS_FILE, and as: COMMAND
-  /// zone-out|zone-in ZONE OPERATOR.
+  /// none. Called as operate.cc tells.
   std::string operate;
   /// Folder for settings, logs and data.
   std::string directory;
@@ -69,6 +68,7 @@
   void StartNodes();
   void StartTarget(const Instance& instance);
   void WaitUntilReady() const;
+  std::string Operators() const;
   bool Operate(const std::vector<std::string>& words);
   void SetBehaviour(const Instance& instance,
                     const nlohmann::json& order) const;
--- a/rig/judge.cc
+++ b/rig/judge.cc
@@ -18,6 +18,7 @@
 constexpr Seconds kStep{0.1};
 // A run at or below this load is one without overload.
 constexpr double kModerateLoad = 0.9;
+constexpr std::size_t kShownReasons = 4;
 constexpr double kGoodputObjective = 0.95;
 constexpr Seconds kRecoveryWindow{0.5};
 constexpr Seconds kRecoveryObjective{2};
@@ -121,6 +122,13 @@
     for (const auto& [name, count] : fates)
       all += (all.empty() ? "" : ", ") + name + " " + std::to_string(count);
     Add("fates", all);
+    std::vector<std::pair<int, std::string>> reasons;
+    for (const auto& [reason, count] : result_.driver["reasons"].items())
+      reasons.emplace_back(count.get<int>(), reason);
+    std::sort(reasons.rbegin(), reasons.rend());
+    reasons.resize(std::min(reasons.size(), kShownReasons));
+    for (const auto& [count, reason] : reasons)
+      Add("errors answered", std::to_string(count) + " " + reason);
     Add("attempts of callers per request",
         Number(attempts / std::max(offered, 1.0)));
     double received = 0;
@@ -311,7 +319,7 @@
     Add("rig: latest sending behind its time",
         Number(result_.driver["worst_lag_ms"].get<double>()) + " ms");
     Add("rig: CPU time of the driver",
-        Number(result_.driver["cpu_s"].get<double>(), 0) + " s");
+        Number(result_.driver["cpu_s"].get<double>(), 1) + " s");
   }
 
   const Plan& plan_;
--- a/rig/load_driver.cc
+++ b/rig/load_driver.cc
@@ -81,6 +81,7 @@
   const nlohmann::json counts = {
       {"attempts_not_run", generator.attempts_not_run()},
       {"confirmed", generator.confirmed()},
+      {"reasons", generator.reasons()},
       {"worst_lag_ms",
        static_cast<double>(generator.worst_lag().count()) / 1000},
       {"most_connections", generator.most_connections()},
--- a/rig/load_generator.cc
+++ b/rig/load_generator.cc
@@ -3,6 +3,7 @@
 #include "load_generator.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "target_server.h"
@@ -18,6 +19,7 @@
 
 constexpr std::size_t kMaxConnections = 1400;
 constexpr milliseconds kTick{1};
+constexpr std::size_t kMaxReasons = 100;
 
 std::string HeaderOf(const HttpResponse& response, const char* name) {
   const auto found = response.find(name);
@@ -216,6 +218,15 @@
   return request.caller->retry == "not-run" && fate == Fate::kNotRun;
 }
 
+void LoadGenerator::CountReason(const HttpResponse& response) {
+  const auto body = nlohmann::json::parse(response.body(), nullptr, false);
+  const std::string reason = body.is_object() ? body.value("reason", "") : "";
+  const std::string step = body.is_object() ? body.value("step", "") : "";
+  // A bound in case reasons carry names or numbers of single requests.
+  if (reasons_.size() < kMaxReasons)
+    ++reasons_[step + ": " + reason];
+}
+
 void LoadGenerator::Ended(const std::shared_ptr<Request>& request,
                           const CallResult& result) {
   Record& record = records_[request->number];
@@ -223,6 +234,8 @@
   if (fate == Fate::kNotRun)
     attempts_not_run_.push_back(request->mark + "/" +
                                 std::to_string(record.attempts));
+  if (fate == Fate::kNotRun || fate == Fate::kUnknown)
+    CountReason(result.response);
   if (Retries(*request, fate)) {
     Attempt(request);
     return;
--- a/rig/load_generator.h
+++ b/rig/load_generator.h
@@ -74,6 +74,8 @@
   }
   /// Marks of requests that are not idempotent and got a good response.
   const std::vector<std::string>& confirmed() const { return confirmed_; }
+  /// Steps and reasons of the errors that the system answered.
+  const std::map<std::string, int>& reasons() const { return reasons_; }
   /// Largest delay between the scheduled time and the sending of a request.
   std::chrono::microseconds worst_lag() const { return worst_lag_; }
   std::size_t most_connections() const { return most_connections_; }
@@ -85,6 +87,7 @@
   void Attempt(const std::shared_ptr<Request>& request);
   void Ended(const std::shared_ptr<Request>& request, const CallResult& result);
   bool Retries(const Request& request, Fate fate) const;
+  void CountReason(const HttpResponse& response);
   Fate Judge(const Request& request, const CallResult& result) const;
   Endpoint Choose(const ClassPlan& caller);
   std::chrono::microseconds Now() const;
@@ -101,6 +104,7 @@
   std::vector<Record> records_;
   std::vector<std::string> attempts_not_run_;
   std::vector<std::string> confirmed_;
+  std::map<std::string, int> reasons_;
   std::chrono::microseconds worst_lag_{0};
   std::size_t most_connections_ = 0;
 };
--- a/rig/target_server.cc
+++ b/rig/target_server.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cctype>
 #include <charconv>
 #include <optional>
 
@@ -39,6 +40,17 @@
   return response;
 }
 
+bool HasSecret(const std::string& value) {
+  std::size_t digits = 0;
+  for (const char next : value) {
+    digits =
+        std::isxdigit(static_cast<unsigned char>(next)) != 0 ? digits + 1 : 0;
+    if (digits >= kSecretDigits)
+      return true;
+  }
+  return false;
+}
+
 /// Returns the services still to be called, from the query "chain=a,b!".
 std::string ChainOf(const std::string& path) {
   const std::size_t at = path.find("chain=");
@@ -130,9 +142,7 @@
 
 void TargetServer::Count(const HttpRequest& request) {
   for (const auto& field : request) {
-    if (field.value().find(
-            boost::beast::string_view(kKeyMark.data(), kKeyMark.size())) !=
-        boost::beast::string_view::npos)
+    if (HasSecret(std::string(field.value())))
       ++keys_seen_;
   }
   const std::string attempt = HeaderOf(request, kAttemptHeader);
--- a/rig/target_server.h
+++ b/rig/target_server.h
@@ -27,8 +27,9 @@
 constexpr std::string_view kMarkHeader = "x-rig-mark";
 /// Identifies one attempt of the load driver.
 constexpr std::string_view kAttemptHeader = "x-rig-attempt";
-/// Text that every key of the rig contains, by which a leaked key is found.
-constexpr std::string_view kKeyMark = "rigsecret";
+/// A header value with as many hexadecimal digits in a row holds the secret of
+/// a key; ids of requests and tokens are shorter.
+constexpr std::size_t kSecretDigits = 76;
 /// Text in a body that ends the process of the target that runs it.
 constexpr std::string_view kCrashMark = "rig-crash";
 
