--- a/rig/experiment.cc
+++ b/rig/experiment.cc
@@ -117,6 +117,8 @@
   if (parsed.count("controls") > 0)
     plan.controls = parsed["controls"].as<int>();
   const double load = plan.load;
+  if (options.kind == SystemKind::kDirect)
+    MakeDirect(plan);
   Scale(plan);
   // Settings and data of an earlier run must not come back.
   std::filesystem::remove_all(options.directory);
--- a/rig/load_driver.cc
+++ b/rig/load_driver.cc
@@ -16,6 +16,8 @@
 namespace yuccastair::rig {
 namespace {
 
+constexpr double kMicrosecondsPerSecond = 1e6;
+
 void RaiseDescriptorLimit() {
   rlimit limit{};
   getrlimit(RLIMIT_NOFILE, &limit);
@@ -54,13 +56,14 @@
     plan.seed = parsed["seed"].as<std::uint64_t>();
   if (parsed.count("load") > 0)
     plan.load = parsed["load"].as<double>();
+  if (parsed.count("direct") > 0)
+    MakeDirect(plan);
   Scale(plan);
   nlohmann::json keys = nlohmann::json::object();
   if (parsed.count("keys") > 0)
     keys =
         nlohmann::json::parse(std::ifstream(parsed["keys"].as<std::string>()));
   for (ClassPlan& caller : plan.classes) {
-    caller.direct = caller.direct || parsed.count("direct") > 0;
     if (keys.contains(caller.organisation))
       caller.key = keys[caller.organisation].get<std::string>();
   }
@@ -86,7 +89,10 @@
        static_cast<double>(generator.worst_lag().count()) / 1000},
       {"most_connections", generator.most_connections()},
       {"cpu_s",
-       static_cast<double>(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec)}};
+       static_cast<double>(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) +
+           static_cast<double>(usage.ru_utime.tv_usec +
+                               usage.ru_stime.tv_usec) /
+               kMicrosecondsPerSecond}};
   std::ofstream(out + "driver.json") << counts.dump() << '\n';
   return 0;
 }
--- a/rig/load_generator.cc
+++ b/rig/load_generator.cc
@@ -165,7 +165,7 @@
   message.set("x-rig-mark", request->mark);
   message.set("x-rig-attempt",
               request->mark + "/" + std::to_string(record.attempts));
-  if (!caller.key.empty())
+  if (!caller.key.empty() && !caller.direct)
     message.set("x-yuccastair-key", caller.key);
   if (caller.method == "POST") {
     message.set("Idempotency-Key", request->mark);
--- a/rig/plan.cc
+++ b/rig/plan.cc
@@ -4,6 +4,7 @@
 
 #include <toml++/toml.h>
 #include <array>
+#include <filesystem>
 #include <optional>
 #include <sstream>
 #include <string_view>
@@ -161,6 +162,16 @@
   }
 }
 
+toml::table Parse(const std::string& path) {
+  try {
+    return toml::parse_file(path);
+  } catch (const toml::parse_error& error) {
+    std::ostringstream text;
+    text << path << ": " << error;
+    throw support::Error("read plan", "", text.str());
+  }
+}
+
 support::Address Loopback(int port) {
   return {kLoopback, static_cast<std::uint16_t>(port)};
 }
@@ -168,16 +179,15 @@
 }  // namespace
 
 Plan ReadPlan(const std::string& path) {
-  toml::table root;
-  try {
-    root = toml::parse_file(path);
-  } catch (const toml::parse_error& error) {
-    std::ostringstream text;
-    text << path << ": " << error;
-    throw support::Error("read plan", "", text.str());
-  }
-  Plan plan;
+  const toml::table root = Parse(path);
   Reader reader(root, path);
+  std::string base;
+  reader.Get("include", base);
+  // The file adds to its base and overrides single values of it.
+  Plan plan;
+  if (!base.empty())
+    plan =
+        ReadPlan((std::filesystem::path(path).parent_path() / base).string());
   reader.Get("name", plan.name);
   reader.Get("seed", plan.seed);
   reader.Get("duration_s", plan.duration);
@@ -202,6 +212,13 @@
   return plan;
 }
 
+void MakeDirect(Plan& plan) {
+  for (ClassPlan& caller : plan.classes) {
+    caller.direct = true;
+    caller.chain.clear();
+  }
+}
+
 std::vector<Instance> InstancesOf(const Plan& plan) {
   std::vector<Instance> instances;
   for (const ServicePlan& service : plan.services) {
--- a/rig/plan.h
+++ b/rig/plan.h
@@ -119,6 +119,10 @@
 /// Throws support::Error with step "read plan" for a faulty file.
 Plan ReadPlan(const std::string& path);
 
+/// Turns all classes into direct ones. Targets cannot call each other without
+/// nodes, so the chains are dropped.
+void MakeDirect(Plan& plan);
+
 std::vector<Instance> InstancesOf(const Plan& plan);
 std::vector<ControlInstance> ControlsOf(const Plan& plan);
 
