Count the new work of a zone that is out of service

Cause: an experiment could not tell whether a zone that is out got new work.

Change: the judge counts requests that reach its targets 3 s after the change.

--- a/rig/baseline_proxy.cc
+++ b/rig/baseline_proxy.cc
@@ -19,7 +19,6 @@
 namespace yuccastair::rig {
 namespace {
 
-namespace http = boost::beast::http;
 using std::chrono::milliseconds;
 
 constexpr std::size_t kMaxConnections = 1400;
--- a/rig/experiment.cc
+++ b/rig/experiment.cc
@@ -6,10 +6,12 @@
 #include <cxxopts.hpp>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <iomanip>
 #include <iostream>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "fleet.h"
 #include "judge.h"
@@ -22,6 +24,8 @@
 using std::chrono::system_clock;
 
 constexpr milliseconds kStartDelay{1000};
+// Requirement 8: no new work after a few seconds.
+constexpr Seconds kZoneNotice{3};
 // Beyond the duration: the last deadlines and the end of the driver.
 constexpr milliseconds kDriverGrace{15000};
 
@@ -38,17 +42,57 @@
                        "--system is nodes, naive, limit or direct");
 }
 
-void DoFaults(const Plan& plan, Fleet& fleet, system_clock::time_point start) {
-  std::vector<FaultPlan> faults = plan.faults;
-  std::sort(faults.begin(), faults.end(),
-            [](const FaultPlan& a, const FaultPlan& b) { return a.at < b.at; });
-  for (const FaultPlan& fault : faults) {
+/// Counts the new work of a zone from kZoneNotice after it was taken out of
+/// service until it comes back.
+class ZoneWatch {
+ public:
+  explicit ZoneWatch(const Fleet& fleet) : fleet_(fleet) {}
+
+  void Begin(const std::string& zone) { before_ = fleet_.ReceivedInZone(zone); }
+  void End(const std::string& zone) {
+    const double received = fleet_.ReceivedInZone(zone) - before_;
+    rows_.push_back({"new work in " + zone + " 3 s after it was taken out",
+                     std::to_string(static_cast<int>(received)), "0",
+                     received == 0 ? "met" : "missed"});
+  }
+  const std::vector<Row>& rows() const { return rows_; }
+
+ private:
+  const Fleet& fleet_;
+  double before_ = 0;
+  std::vector<Row> rows_;
+};
+
+std::vector<Row> DoFaults(const Plan& plan,
+                          Fleet& fleet,
+                          system_clock::time_point start) {
+  struct Step {
+    Seconds at;
+    std::function<void()> act;
+  };
+  ZoneWatch watch(fleet);
+  std::vector<Step> steps;
+  for (const FaultPlan& fault : plan.faults) {
+    steps.push_back({fault.at, [&] {
+                       if (fault.kind == "zone-in")
+                         watch.End(fault.zone);
+                       if (!fleet.Do(fault))
+                         std::cout << "fault " << fault.kind << " at "
+                                   << fault.at.count()
+                                   << " s could not be done\n";
+                     }});
+    if (fault.kind == "zone-out")
+      steps.push_back(
+          {fault.at + kZoneNotice, [&] { watch.Begin(fault.zone); }});
+  }
+  std::sort(steps.begin(), steps.end(),
+            [](const Step& a, const Step& b) { return a.at < b.at; });
+  for (const Step& step : steps) {
     std::this_thread::sleep_until(
-        start + std::chrono::duration_cast<milliseconds>(fault.at));
-    if (!fleet.Do(fault))
-      std::cout << "fault " << fault.kind << " at " << fault.at.count()
-                << " s could not be done\n";
+        start + std::chrono::duration_cast<milliseconds>(step.at));
+    step.act();
   }
+  return watch.rows();
 }
 
 void Print(const std::vector<Row>& rows) {
@@ -130,7 +174,7 @@
       std::chrono::duration_cast<milliseconds>(start.time_since_epoch())
           .count(),
       plan.seed, load);
-  DoFaults(plan, fleet, start);
+  const std::vector<Row> zone_rows = DoFaults(plan, fleet, start);
   const bool finished = fleet.WaitForDriver(
       std::chrono::duration_cast<milliseconds>(plan.duration) + kStartDelay +
       kDriverGrace);
@@ -143,7 +187,8 @@
   result.records = ReadRecords(out + "requests.csv", plan);
   result.driver = nlohmann::json::parse(std::ifstream(out + "driver.json"));
 
-  const std::vector<Row> rows = Judge(plan, result);
+  std::vector<Row> rows = Judge(plan, result);
+  rows.insert(rows.end(), zone_rows.begin(), zone_rows.end());
   std::cout << plan.name << ": system " << parsed["system"].as<std::string>()
             << ", load " << load << ", seed " << plan.seed << ", "
             << plan.duration.count() << " s\n";
--- a/rig/fleet.cc
+++ b/rig/fleet.cc
@@ -201,7 +201,7 @@
 std::string Fleet::StartDriver(std::int64_t start_ms,
                                std::uint64_t seed,
                                double load) {
-  const std::string out = options_.directory + "/";
+  std::string out = options_.directory + "/";
   std::vector<std::string> command = {options_.rig + "/load_driver",
                                       "--plan",
                                       options_.plan_file,
@@ -281,6 +281,19 @@
   return done;
 }
 
+double Fleet::ReceivedInZone(const std::string& zone) const {
+  double received = 0;
+  for (const Instance& instance : instances_) {
+    if (instance.zone != zone)
+      continue;
+    const http::Exchange exchange = Send(instance.admin, "GET", "/report");
+    if (IsGood(exchange))
+      received += nlohmann::json::parse(exchange.response.body)["received"]
+                      .get<double>();
+  }
+  return received;
+}
+
 std::vector<nlohmann::json> Fleet::Reports() const {
   std::vector<nlohmann::json> reports;
   for (const Instance& instance : instances_) {
--- a/rig/fleet.h
+++ b/rig/fleet.h
@@ -56,6 +56,9 @@
   /// no operator command.
   bool Do(const FaultPlan& fault);
 
+  /// Requests that the targets of a zone have received so far.
+  double ReceivedInZone(const std::string& zone) const;
+
   /// Reports of the admin ports of all targets that still run.
   std::vector<nlohmann::json> Reports() const;
 
--- a/rig/judge.cc
+++ b/rig/judge.cc
@@ -71,8 +71,9 @@
   const ClassPlan& ClassOf(const Record& record) const {
     return plan_.classes[record.caller];
   }
+  // A surge, a fault or the load itself.
   bool Overloaded() const {
-    bool surge = false;
+    bool surge = !plan_.faults.empty();
     for (const ClassPlan& caller : plan_.classes)
       surge = surge || !caller.profile.empty();
     return plan_.load > kModerateLoad || surge;
@@ -123,6 +124,7 @@
       all += (all.empty() ? "" : ", ") + name + " " + std::to_string(count);
     Add("fates", all);
     std::vector<std::pair<int, std::string>> reasons;
+    reasons.reserve(result_.driver["reasons"].size());
     for (const auto& [reason, count] : result_.driver["reasons"].items())
       reasons.emplace_back(count.get<int>(), reason);
     std::sort(reasons.rbegin(), reasons.rend());
--- a/rig/plan.cc
+++ b/rig/plan.cc
@@ -18,9 +18,9 @@
 constexpr int kControlPorts = 10;
 constexpr int kInstancePorts = 100;
 constexpr int kPortsPerInstance = 6;
-constexpr std::array<std::string_view, 12> kFaultKinds = {
-    "slow", "cold", "silent",   "shed",     "drain",   "kill",
-    "stop", "term", "continue", "zone-out", "zone-in", "noop"};
+constexpr std::array<std::string_view, 11> kFaultKinds = {
+    "slow", "cold", "silent",   "shed",     "drain",  "kill",
+    "stop", "term", "continue", "zone-out", "zone-in"};
 
 /// Reads one table and complains about keys that nothing has read.
 class Reader {
--- a/rig/plan.h
+++ b/rig/plan.h
@@ -62,7 +62,8 @@
 
 struct FaultPlan {
   Seconds at{0};
-  /// slow, cold, silent, shed, drain, kill, stop, continue, zone-out, zone-in.
+  /// slow, cold, silent, shed, drain, kill, term, stop, continue, zone-out or
+  /// zone-in.
   std::string kind;
   /// target, node or control, for kill, stop and continue.
   std::string part = "target";
--- a/rig/series.cc
+++ b/rig/series.cc
@@ -2,6 +2,7 @@
 
 #include <spawn.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <fstream>
 #include <string>
@@ -9,8 +10,6 @@
 
 #include "judge.h"
 
-extern char** environ;
-
 namespace yuccastair::rig {
 namespace {
 
