--- a/rig/judge.cc
+++ b/rig/judge.cc
@@ -7,6 +7,7 @@
 #include <cmath>
 #include <cstdio>
 #include <fstream>
+#include <functional>
 #include <map>
 #include <set>
 #include <sstream>
@@ -125,14 +126,15 @@
     for (const auto& [name, count] : fates)
       all += (all.empty() ? "" : ", ") + name + " " + std::to_string(count);
     Add("fates", all);
-    std::vector<std::pair<int, std::string>> reasons;
-    reasons.reserve(result_.driver["reasons"].size());
+    std::multimap<int, std::string, std::greater<>> reasons;
     for (const auto& [reason, count] : result_.driver["reasons"].items())
-      reasons.emplace_back(count.get<int>(), reason);
-    std::sort(reasons.rbegin(), reasons.rend());
-    reasons.resize(std::min(reasons.size(), kShownReasons));
-    for (const auto& [count, reason] : reasons)
+      reasons.emplace(count.get<int>(), reason);
+    std::size_t shown = 0;
+    for (const auto& [count, reason] : reasons) {
+      if (++shown > kShownReasons)
+        break;
       Add("errors answered", std::to_string(count) + " " + reason);
+    }
     Add("attempts of callers per request",
         Number(attempts / std::max(offered, 1.0)));
     double received = 0;
--- a/rig/load_generator.cc
+++ b/rig/load_generator.cc
@@ -19,6 +19,7 @@
 
 constexpr std::size_t kMaxConnections = 1400;
 constexpr milliseconds kTick{1};
+constexpr int kReconnects = 3;
 constexpr std::size_t kMaxReasons = 100;
 
 std::string HeaderOf(const HttpResponse& response, const char* name) {
@@ -209,6 +210,10 @@
 }
 
 bool LoadGenerator::Retries(const Request& request, Fate fate) const {
+  // A caller whose node cannot be reached connects to another one.
+  if (fate == Fate::kNotSent && Clock::now() < request.deadline &&
+      records_[request.number].attempts <= kReconnects)
+    return true;
   if (fate == Fate::kGood || fate == Fate::kLate || fate == Fate::kForeign ||
       Clock::now() >= request.deadline ||
       records_[request.number].attempts > request.caller->retries)
