Keep the lint clean in the judge

Cause: the linter reported the judge of experiments.

Change: its findings are fixed; no behaviour changes.

Conclusion: no further change of behaviour.

--- a/rig/judge.cc
+++ b/rig/judge.cc
@@ -186,6 +186,7 @@
       double possible) {
     std::map<std::string, double> shares;
     std::vector<std::pair<double, std::string>> order;
+    order.reserve(wanted.size());
     for (const auto& [name, rate] : wanted)
       order.emplace_back(rate, name);
     std::sort(order.begin(), order.end());
