--- a/rig/fleet.h
+++ b/rig/fleet.h
@@ -33,8 +33,7 @@
   /// Folder of the programs of the rig.
   std::string rig;
   /// Program that makes settings, organisations, keys and routes; empty for
-  /// none. Called as: COMMAND setup PLAN OPERATOR KEYS_FILE, and as: COMMAND
-  /// zone-out|zone-in ZONE OPERATOR.
+  /// none. Called as operate.cc tells.
   std::string operate;
   /// Folder for settings, logs and data.
   std::string directory;
@@ -57,6 +56,9 @@
   /// no operator command.
   bool Do(const FaultPlan& fault);
 
+  /// Requests that the targets of a zone have received so far.
+  double ReceivedInZone(const std::string& zone) const;
+
   /// Reports of the admin ports of all targets that still run.
   std::vector<nlohmann::json> Reports() const;
 
@@ -69,6 +71,7 @@
   void StartNodes();
   void StartTarget(const Instance& instance);
   void WaitUntilReady() const;
+  std::string Operators() const;
   bool Operate(const std::vector<std::string>& words);
   void SetBehaviour(const Instance& instance,
                     const nlohmann::json& order) const;
--- a/rig/plan.h
+++ b/rig/plan.h
@@ -62,7 +62,8 @@
 
 struct FaultPlan {
   Seconds at{0};
-  /// slow, cold, silent, shed, drain, kill, stop, continue, zone-out, zone-in.
+  /// slow, cold, silent, shed, drain, kill, term, stop, continue, zone-out or
+  /// zone-in.
   std::string kind;
   /// target, node or control, for kill, stop and continue.
   std::string part = "target";
@@ -119,6 +120,10 @@
 /// Throws support::Error with step "read plan" for a faulty file.
 Plan ReadPlan(const std::string& path);
 
+/// Turns all classes into direct ones. Targets cannot call each other without
+/// nodes, so the chains are dropped.
+void MakeDirect(Plan& plan);
+
 std::vector<Instance> InstancesOf(const Plan& plan);
 std::vector<ControlInstance> ControlsOf(const Plan& plan);
 
