--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -9,8 +9,12 @@
 #include "entry.h"
 #include "fleet_view.h"
 #include "forwarder.h"
+#include "leader_channel.h"
+#include "leader_hint.h"
 #include "observer.h"
+#include "receive_gap.h"
 #include "running_calls.h"
+#include "settings_options.h"
 #include "settings_view.h"
 #include "sync_client.h"
 #include "target_side.h"
@@ -28,6 +32,7 @@
 constexpr milliseconds kDrainPoll{20};
 // Long enough for every other node to have synced once after the announcement.
 constexpr milliseconds kLeaveNotice{1500};
+constexpr milliseconds kReplyFlush{200};
 
 std::optional<wire::CurveKeyPair> CurveKeys(const Settings& settings) {
   if (settings.curve_public_key.empty())
@@ -45,6 +50,13 @@
   return texts;
 }
 
+std::uint64_t WallClockMs() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
 /// Hands the target the span of its own node as the parent of its spans.
 void ReplaceTraceparent(const observe::TraceContext& context,
                         wire::CallRequest& call) {
@@ -67,17 +79,28 @@
   explicit Impl(Settings settings)
       : settings_(std::move(settings)),
         incarnation_(support::RandomId()),
+        started_ms_(WallClockMs()),
+        leader_(ToStrings(settings_.controls)),
         observer_(settings_),
-        target_(settings_.target_workers, running_),
+        target_(settings_.target_workers, running_, {}, {}),
+        forwarder_(
+            fleet_,
+            transport_,
+            pending_,
+            [this] { sync_.Wake(); },
+            ForwarderOptions()),
         transport_(TransportOptions(), TransportHandlers()),
+        leader_channel_(leader_, transport_, pending_),
+        crashes_(leader_channel_),
         sync_(SyncOptions(), transport_, pending_),
-        forwarder_(fleet_, transport_, pending_, [this] { sync_.Wake(); }),
         authoriser_(shared_settings_,
                     clock_,
                     [this] { return sync_.fresh_at(); }),
+        rates_(settings_.id, incarnation_, leader_channel_),
+        claims_(leader_channel_),
         entry_(settings_,
-               {authoriser_, rates_, claims_, forwarder_, running_, target_,
-                observer_}),
+               {authoriser_, rates_, claims_, crashes_, forwarder_, running_,
+                target_, observer_}),
         target_server_(TargetServerOptions()),
         caller_server_(CallerServerOptions()) {
     support::LogInfo("node.started",
@@ -91,6 +114,7 @@
 
   void Drain() {
     leaving_ = true;
+    target_.ReportLeaving();
     sync_.Wake();
     const auto started = support::SteadyClock().Now();
     std::this_thread::sleep_for(
@@ -100,6 +124,8 @@
                settings_.shutdown_timeout &&
            (target_.running() > 0 || caller_server_.in_flight() > 0))
       std::this_thread::sleep_for(kDrainPoll);
+    // The last replies are still on their way through the transport.
+    std::this_thread::sleep_for(kReplyFlush);
     support::LogInfo("node.drained", {{"running", target_.running()}});
   }
 
@@ -115,7 +141,8 @@
                   HandleRequest(route, std::move(envelope));
                 },
             .on_answer =
-                [this](const std::string&, wire::Envelope envelope) {
+                [this](const std::string& address, wire::Envelope envelope) {
+                  forwarder_.OnAnswer(address);
                   const std::uint64_t correlation = envelope.correlation();
                   pending_.Complete(correlation, std::move(envelope));
                 },
@@ -123,7 +150,17 @@
                 [this](const std::string&, const wire::Envelope& envelope) {
                   pending_.CompleteUndelivered(envelope.correlation());
                 },
-            .on_tick = nullptr};
+            .on_tick =
+                [this] {
+                  receive_gap_.OnPass(support::SteadyClock().Now());
+                  forwarder_.OnTick();
+                }};
+  }
+
+  Forwarder::Options ForwarderOptions() const {
+    Forwarder::Options options;
+    options.availability_zone = settings_.availability_zone;
+    return options;
   }
 
   void HandleRequest(const wire::ReplyRoute& route, wire::Envelope envelope) {
@@ -135,9 +172,23 @@
       transport_.Reply(route, std::move(answer));
       return;
     }
-    if (!envelope.has_call_request())
-      return;
-    HandleCall(route, correlation, std::move(*envelope.mutable_call_request()));
+    if (envelope.has_call_request())
+      HandleCall(route, correlation,
+                 std::move(*envelope.mutable_call_request()));
+    else if (envelope.has_call_cancel())
+      target_.Cancel(envelope.call_cancel().attempt_id(),
+                     [this, route, correlation](wire::CallReply reply) {
+                       SendReply(route, correlation, std::move(reply));
+                     });
+  }
+
+  void SendReply(const wire::ReplyRoute& route,
+                 std::uint64_t correlation,
+                 wire::CallReply reply) {
+    wire::Envelope answer;
+    answer.set_correlation(correlation);
+    *answer.mutable_call_reply() = std::move(reply);
+    transport_.Reply(route, std::move(answer));
   }
 
   void HandleCall(const wire::ReplyRoute& route,
@@ -150,14 +201,13 @@
     wire::CallRequest described = call;
     described.clear_body();
     described.clear_headers();
-    target_.Submit(std::move(call), [this, route, correlation, hop,
-                                     described](wire::CallReply reply) {
-      observer_.Finish(hop, described.request_id(), &described, reply);
-      wire::Envelope answer;
-      answer.set_correlation(correlation);
-      *answer.mutable_call_reply() = std::move(reply);
-      transport_.Reply(route, std::move(answer));
-    });
+    target_.Submit(
+        std::move(call),
+        [this, route, correlation, hop, described](wire::CallReply reply) {
+          observer_.Finish(hop, described.request_id(), &described, reply);
+          SendReply(route, correlation, std::move(reply));
+        },
+        receive_gap_.MaxWait(clock_.Now()));
   }
 
   SyncClient::Options SyncOptions() {
@@ -168,24 +218,55 @@
             .apply =
                 [this](const wire::SyncReply& reply) {
                   fleet_.Apply(reply);
-                  return shared_settings_.Apply(reply);
+                  leader_.Set(reply.leader_address());
+                  crashes_.Apply(reply.fingerprints());
+                  const bool complete = shared_settings_.Apply(reply);
+                  FollowSettings();
+                  return complete;
                 }};
   }
 
-  void FillSync(wire::SyncRequest& request) const {
+  /// Hands changed settings to admission and routing. Also called when only the
+  /// own target may have announced another service.
+  void FollowSettings() {
+    const auto settings = shared_settings_.Current();
+    const auto announcement = target_.announcement();
+    const std::string service = announcement ? announcement->service : "";
+    if (settings->version() == followed_version_ &&
+        service == followed_service_)
+      return;
+    followed_version_ = settings->version();
+    followed_service_ = service;
+    target_.SetOptions(AdmissionOptions(settings->OfService(service)));
+    target_.SetZoneOut(!settings->IsZoneInService(settings_.availability_zone));
+    forwarder_.SetZonesOut(settings->zones_out());
+    forwarder_.SetOptions([settings](const std::string& name) {
+      return RoutingOptions(settings->OfService(name));
+    });
+  }
+
+  void FillSync(wire::SyncRequest& request) {
     wire::Member* self = request.mutable_self();
     self->set_node_id(settings_.id);
     self->set_incarnation(incarnation_);
+    self->set_started_ms(started_ms_);
+    self->set_sequence(++reports_);
     self->set_availability_zone(settings_.availability_zone);
     self->set_address(settings_.peer_listen.ToString());
     self->set_state(wire::TARGET_STATE_DOWN);
     if (const auto announcement = target_.announcement()) {
       self->set_service(announcement->service);
       self->set_state(announcement->state);
+      const wire::LoadReport load = target_.Load();
+      self->set_limit(load.limit());
+      // A target may have turned cold without announcing it.
+      if (load.state() == wire::TARGET_STATE_COLD)
+        self->set_state(load.state());
     }
     if (leaving_)
       self->set_state(wire::TARGET_STATE_LEAVING);
     request.set_settings_version(shared_settings_.VersionToReport());
+    request.set_fingerprint_version(crashes_.version());
     fleet_.FillRequest(request);
   }
 
@@ -219,18 +300,29 @@
   // Members are destroyed in reverse order: the servers first, so that no
   // request comes in while the rest is taken down.
   const Settings settings_;
-  const support::SteadyClock clock_;
+  const support::SteadyClock clock_{};
   const std::string incarnation_;
+  const std::uint64_t started_ms_;
+  // Used by the sync thread alone.
+  std::uint64_t reports_ = 0;
+  std::uint64_t followed_version_ = 0;
+  std::string followed_service_;
   SettingsView shared_settings_;
   std::atomic<bool> leaving_ = false;
+  LeaderHint leader_;
   Observer observer_;
   wire::PendingCalls pending_;
   RunningCalls running_;
+  // Used by the transport thread only.
+  ReceiveGap receive_gap_;
   FleetView fleet_;
   TargetSide target_;
+  // Called by the transport thread, so it outlives the transport.
+  Forwarder forwarder_;
   wire::Transport transport_;
+  LeaderChannel leader_channel_;
+  CrashGuard crashes_;
   SyncClient sync_;
-  Forwarder forwarder_;
   Authoriser authoriser_;
   RateGate rates_;
   ClaimGate claims_;
--- a/lib/node/settings_view.h
+++ b/lib/node/settings_view.h
@@ -70,6 +70,7 @@
   /// Returns null for an organisation that does not exist.
   const wire::Organisation* FindOrganisation(std::string_view name) const;
 
+  const std::set<std::string>& zones_out() const { return zones_out_; }
   bool IsZoneInService(const std::string& zone) const {
     return zones_out_.count(zone) == 0;
   }
--- a/lib/wire/transport.cc
+++ b/lib/wire/transport.cc
@@ -90,6 +90,10 @@
       throw support::Error("start transport", "", "eventfd failed");
     if (!options_.listen.empty())
       Bind();
+  }
+
+  // Handlers use the Transport, so it has to be complete first.
+  void Start() {
     thread_ = std::thread([this] { Run(); });
   }
 
@@ -356,7 +360,9 @@
 };
 
 Transport::Transport(Options options, Handlers handlers)
-    : impl_(std::make_unique<Impl>(std::move(options), std::move(handlers))) {}
+    : impl_(std::make_unique<Impl>(std::move(options), std::move(handlers))) {
+  impl_->Start();
+}
 
 Transport::~Transport() = default;
 
