--- a/include/yuccastair/http/client.h
+++ b/include/yuccastair/http/client.h
@@ -22,6 +22,8 @@
   kBroken,
   /// As kBroken, because the time was over.
   kTimedOut,
+  /// As kBroken, because Cancel() was called.
+  kCancelled,
 };
 
 struct Exchange {
@@ -33,8 +35,9 @@
 
 /// A connection to one HTTP server, opened when needed.
 ///
-/// A connection whose exchange did not end cleanly is closed. Not safe for use
-/// by several threads.
+/// A connection whose exchange did not end cleanly is closed, which is also how
+/// a cancellation reaches the server. Only Cancel() is safe to call from
+/// another thread.
 class Client {
  public:
   explicit Client(support::Address server);
@@ -52,11 +55,24 @@
                 std::chrono::milliseconds timeout,
                 bool reuse_connection);
 
+  /// Returns whether Send() would find an open connection to reuse.
+  bool HasConnection() const;
+
+  /// Ends a Send() under way, or the next one at its start, with kCancelled.
+  void Cancel();
+
+  /// Forgets a Cancel() that came after the end of the last Send().
+  void ResetCancel();
+
  private:
+  friend bool CanConnect(const support::Address& server);
   class Impl;
   std::unique_ptr<Impl> impl_;
 };
 
+/// Returns whether something listens at \p server. Waits at most 100 ms.
+bool CanConnect(const support::Address& server);
+
 }  // namespace yuccastair::http
 
 #endif  // YUCCASTAIR_HTTP_CLIENT_H_
--- a/lib/control/control.cc
+++ b/lib/control/control.cc
@@ -21,6 +21,7 @@
 #include "yuccastair/claims/fingerprint_table.h"
 #include "yuccastair/http/server.h"
 #include "yuccastair/membership/registry.h"
+#include "yuccastair/observe/event_log.h"
 #include "yuccastair/rates/ledger_record.h"
 #include "yuccastair/state/settings_machine.h"
 #include "yuccastair/support/bounded_ring.h"
@@ -68,7 +69,7 @@
              [this](const std::string& address, wire::Envelope envelope) {
                transport_.Send(address, std::move(envelope));
              }),
-        settings_sync_(settings_table_, log_, clock_),
+        settings_sync_(settings_table_, log_, clock_, event_log_),
         rate_service_(log_, clock_, Limits()),
         claim_service_(log_, claim_table_, clock_),
         crash_service_(log_, fingerprint_table_, clock_),
@@ -148,6 +149,7 @@
          i < settings_.operator_peers.size() && i < settings_.peers.size(); ++i)
       options.operator_addresses[settings_.peers[i].ToString()] =
           settings_.operator_peers[i].ToString();
+    options.events = &event_log_;
     options.add_status = [this](nlohmann::json& status) {
       status["nodes"] = registry_.size();
     };
@@ -271,7 +273,8 @@
   }
 
   const Settings settings_;
-  const support::SteadyClock clock_;
+  const support::SteadyClock clock_{};
+  observe::EventLog event_log_;
   // Owned by the core thread.
   membership::Registry registry_;
   state::SettingsMachine settings_table_;
--- a/lib/http/client.cc
+++ b/lib/http/client.cc
@@ -11,11 +11,13 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <cerrno>
@@ -23,6 +25,8 @@
 #include <system_error>
 #include <utility>
 
+#include "yuccastair/support/error.h"
+
 namespace yuccastair::http {
 namespace {
 
@@ -74,8 +78,17 @@
 
 class Client::Impl {
  public:
-  explicit Impl(support::Address server) : server_(std::move(server)) {}
-  ~Impl() { Close(); }
+  explicit Impl(support::Address server)
+      : server_(std::move(server)),
+        wakeup_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
+    if (wakeup_ < 0)
+      throw support::Error("open connection", server_.ToString(),
+                           std::generic_category().message(errno));
+  }
+  ~Impl() {
+    Close();
+    close(wakeup_);
+  }
 
   Impl(const Impl&) = delete;
   Impl& operator=(const Impl&) = delete;
@@ -89,8 +102,14 @@
       exchange.error = "the request has a line break in its header";
       return exchange;
     }
-    if (!reuse_connection || !StillOpen())
+    if (!reuse_connection || !HasConnection())
       Close();
+    // A call that was cancelled before it began must not reach the server.
+    if (cancelled_) {
+      exchange.error = "cancelled";
+      exchange.result = ExchangeResult::kCancelled;
+      return exchange;
+    }
     if (fd_ < 0 && !Connect(exchange.error))
       return exchange;
     exchange.result = ExchangeResult::kBroken;
@@ -101,15 +120,35 @@
     return exchange;
   }
 
- private:
   /// Returns whether a kept connection can take another request: the server has
   /// neither closed it nor sent anything unasked.
-  bool StillOpen() const {
+  bool HasConnection() const {
     char byte = 0;
     return fd_ >= 0 && recv(fd_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
            (errno == EAGAIN || errno == EWOULDBLOCK);
   }
 
+  void Cancel() {
+    cancelled_ = true;
+    const std::uint64_t one = 1;
+    [[maybe_unused]] const auto written = write(wakeup_, &one, sizeof one);
+  }
+
+  void ResetCancel() {
+    cancelled_ = false;
+    std::uint64_t count = 0;
+    [[maybe_unused]] const auto bytes = read(wakeup_, &count, sizeof count);
+  }
+
+  /// Returns whether something listens; with a full backlog something listens
+  /// but does not accept.
+  bool Probe(std::chrono::milliseconds timeout) {
+    deadline_ = Clock::now() + timeout;
+    std::string error;
+    return Connect(error) || connect_timed_out_;
+  }
+
+ private:
   bool Connect(std::string& error) {
     sockaddr_in address{};
     address.sin_family = AF_INET;
@@ -131,6 +170,7 @@
       if (WaitFor(POLLOUT))
         getsockopt(fd_, SOL_SOCKET, SO_ERROR, &failure, &size);
     }
+    connect_timed_out_ = failure == ETIMEDOUT;
     if (failure == 0)
       return true;
     error = std::generic_category().message(failure);
@@ -144,23 +184,26 @@
     fd_ = -1;
   }
 
-  /// Returns false when the deadline has passed first.
+  /// Returns false when the deadline has passed or Cancel() was called first.
   bool WaitFor(short events) const {
     while (true) {
       const auto left = std::chrono::ceil<std::chrono::milliseconds>(
           deadline_ - Clock::now());
-      if (left.count() <= 0)
+      if (left.count() <= 0 || cancelled_)
         return false;
-      pollfd poll_fd{fd_, events, 0};
-      const int ready = poll(&poll_fd, 1, static_cast<int>(left.count()));
-      if (ready > 0 || (ready < 0 && errno != EINTR))
+      std::array<pollfd, 2> fds{{{fd_, events, 0}, {wakeup_, POLLIN, 0}}};
+      const int ready =
+          poll(fds.data(), fds.size(), static_cast<int>(left.count()));
+      if ((ready > 0 && fds[0].revents != 0 && !cancelled_) ||
+          (ready < 0 && errno != EINTR))
         return true;
     }
   }
 
-  static bool TimedOut(Exchange& exchange) {
-    exchange.result = ExchangeResult::kTimedOut;
-    exchange.error = "no response in time";
+  bool StoppedWaiting(Exchange& exchange) const {
+    exchange.result =
+        cancelled_ ? ExchangeResult::kCancelled : ExchangeResult::kTimedOut;
+    exchange.error = cancelled_ ? "cancelled" : "no response in time";
     return false;
   }
 
@@ -173,7 +216,7 @@
         sent += static_cast<std::size_t>(count);
       } else if (errno == EAGAIN || errno == EINTR) {
         if (!WaitFor(POLLOUT))
-          return TimedOut(exchange);
+          return StoppedWaiting(exchange);
       } else {
         // The server may answer before it has read the whole request, as with
         // 413; Read() finds the response or the end.
@@ -237,7 +280,7 @@
         pending.append(buffer.data(), static_cast<std::size_t>(count));
       } else if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
         if (!WaitFor(POLLIN))
-          return TimedOut(exchange);
+          return StoppedWaiting(exchange);
       } else {
         return End(parser, exchange);
       }
@@ -263,8 +306,11 @@
   }
 
   const support::Address server_;
+  const int wakeup_;
   Clock::time_point deadline_;
   int fd_ = -1;
+  bool connect_timed_out_ = false;
+  std::atomic<bool> cancelled_ = false;
 };
 
 Client::Client(support::Address server)
@@ -275,7 +321,26 @@
 Exchange Client::Send(const Request& request,
                       std::chrono::milliseconds timeout,
                       bool reuse_connection) {
-  return impl_->Send(request, timeout, reuse_connection);
+  Exchange exchange = impl_->Send(request, timeout, reuse_connection);
+  impl_->ResetCancel();
+  return exchange;
+}
+
+bool Client::HasConnection() const {
+  return impl_->HasConnection();
+}
+
+void Client::Cancel() {
+  impl_->Cancel();
+}
+
+void Client::ResetCancel() {
+  impl_->ResetCancel();
+}
+
+bool CanConnect(const support::Address& server) {
+  constexpr std::chrono::milliseconds kConnectProbe{100};
+  return Client::Impl(server).Probe(kConnectProbe);
 }
 
 }  // namespace yuccastair::http
--- a/lib/node/crash_guard.h
+++ b/lib/node/crash_guard.h
@@ -57,7 +57,7 @@
                             support::TimePoint until);
 
   LeaderChannel& leader_;
-  const support::SteadyClock clock_;
+  const support::SteadyClock clock_{};
   mutable std::mutex mutex_;
   // Guarded by mutex_; no fingerprint is in both sets.
   std::uint64_t version_ = 0;
--- a/lib/node/entry.cc
+++ b/lib/node/entry.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "call_reply.h"
+#include "yuccastair/routing/fingerprint.h"
 #include "yuccastair/support/id.h"
 
 namespace yuccastair::node {
@@ -126,7 +127,8 @@
   if (auto refusal = duties_.rates.Admit(policy.organisation, deadline))
     return *std::move(refusal);
   call.set_importance(policy.importance);
-  call.set_attempt_budget(policy.attempts);
+  // The first attempt of a call is not taken from the budget.
+  call.set_attempt_budget(policy.attempts > 0 ? policy.attempts - 1 : 0);
   return RunOnce(call, http::FindHeader(request.headers, kIdempotencyHeader),
                  deadline, request.caller_gone);
 }
@@ -154,8 +156,8 @@
     return *std::move(sending.refusal);
   wire::CallRequest sent = call;
   // A permit is for one target.
-  if (!sending.permit.empty() && sent.attempt_budget() > 1)
-    sent.set_attempt_budget(1);
+  if (!sending.permit.empty())
+    sent.set_attempt_budget(0);
   wire::CallReply reply =
       duties_.forwarder.Forward(std::move(sent), deadline, caller_gone);
   duties_.crashes.Finish(sending, reply);
@@ -199,16 +201,17 @@
   call.set_parent_span_id(hop.context.span_id);
   call.set_importance(context->importance);
   call.set_depth(context->depth + 1);
-  // A child takes half of what is left, so that a later call of the same
-  // request still finds attempts.
-  const std::uint32_t first = duties_.running.TakeAttempts(token, 1);
-  const std::uint32_t extra = duties_.running.TakeAttempts(token, first);
-  call.set_attempt_budget(first + extra);
+  const std::uint64_t fingerprint = routing::ResendFingerprint(call);
+  const RunningCalls::Grant grant =
+      duties_.running.BeginChild(token, fingerprint);
+  if (!grant.allowed)
+    return ToResponse(NotRun("retry", grant.reason), context->request_id);
+  call.set_attempt_budget(grant.attempts);
   const wire::CallReply reply =
       RunOnce(call, http::FindHeader(request.headers, kIdempotencyHeader),
               context->deadline, request.caller_gone);
   duties_.observer.Finish(hop, context->request_id, &call, reply);
-  duties_.running.ReturnAttempts(token, reply.unused_attempts());
+  duties_.running.EndChild(token, fingerprint, grant, reply);
   return ToResponse(reply, context->request_id);
 }
 
