Let a cold target's node shed by importance instead of the router

Cause: under overload the latency of a target jumps, its node suspects a cold start, and all targets of a service count as cold. The router then refused calls beyond the ramp with "no target takes calls", whatever their importance, so that critical requests were served less than low ones.

Ruled out: ejection of targets (an ejected target is still chosen where there is no other) and a false order in the queue (its tests hold).

Change: where only cold targets at their limit are left, a first attempt goes to one of them; its node holds the ramp exactly and queues and sheds by importance. Retries still stay within the ramp.

--- a/include/yuccastair/routing/router.h
+++ b/include/yuccastair/routing/router.h
@@ -93,6 +93,8 @@
   };
 
   bool Accepts(const Target& target) const;
+  /// Returns whether a cold target has all the load that it reports to bear.
+  bool BeyondRamp(const Target& target) const;
   bool ProbeDue(const Target& target, bool idempotent) const;
   double Load(const Target& target) const;
   double Limit(const Target& target) const;
--- a/lib/routing/router.cc
+++ b/lib/routing/router.cc
@@ -64,12 +64,20 @@
     case wire::TARGET_STATE_UP:
       return true;
     case wire::TARGET_STATE_COLD:
-      return Load(target) < Limit(target);
+      return true;
     default:
       return false;
   }
 }
 
+bool Router::BeyondRamp(const Target& target) const {
+  const bool reported =
+      target.report && clock_.Now() - target.reported_at < kReportedStateHolds;
+  const wire::TargetState state =
+      reported ? target.report->state() : target.member.state();
+  return state == wire::TARGET_STATE_COLD && Load(target) >= Limit(target);
+}
+
 bool Router::ProbeDue(const Target& target, bool idempotent) const {
   if (target.probing || clock_.Now() < *target.ejected_until)
     return false;
@@ -123,11 +131,14 @@
   std::vector<Target*> own_zone;
   std::vector<Target*> elsewhere;
   std::vector<Target*> ejected;
+  std::vector<Target*> beyond_ramp;
   for (auto& [node_id, target] : targets_) {
     if (std::find(tried.begin(), tried.end(), node_id) != tried.end() ||
         !Accepts(target))
       continue;
-    if (target.ejected_until) {
+    if (BeyondRamp(target)) {
+      beyond_ramp.push_back(&target);
+    } else if (target.ejected_until) {
       if (ProbeDue(target, idempotent))
         return Take(target, true, 1);
       ejected.push_back(&target);
@@ -149,6 +160,10 @@
   // An ejected target is still better than none.
   if (chosen == nullptr)
     chosen = BestOfTwo(ejected);
+  // The node of a cold target holds the ramp and sheds by importance, which a
+  // refusal here would ignore. A retry does not add to its queue.
+  if (chosen == nullptr && tried.empty())
+    chosen = BestOfTwo(beyond_ramp);
   if (chosen == nullptr)
     return std::nullopt;
   return Take(*chosen, false, std::max(candidates, ejected.size()));
