--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -103,6 +103,7 @@
                 target_, observer_}),
         target_server_(TargetServerOptions()),
         caller_server_(CallerServerOptions()) {
+    RegisterGauges();
     support::LogInfo("node.started",
                      {{"listen", settings_.listen.ToString()},
                       {"availability_zone", settings_.availability_zone}});
@@ -130,6 +131,31 @@
   }
 
  private:
+  void RegisterGauges() {
+    observe::Metrics& metrics = observer_.metrics();
+    metrics.RegisterGauge("yuccastair_target_limit",
+                          [this] { return target_.Load().limit(); });
+    metrics.RegisterGauge("yuccastair_target_running",
+                          [this] { return target_.Load().running(); });
+    metrics.RegisterGauge("yuccastair_target_queued",
+                          [this] { return target_.Load().queued(); });
+    metrics.RegisterGauge("yuccastair_target_state",
+                          [this] { return target_.Load().state(); });
+    metrics.RegisterGauge("yuccastair_peer_sent_bytes", [this] {
+      return static_cast<double>(transport_.counters().bytes_sent);
+    });
+    metrics.RegisterGauge("yuccastair_peer_received_bytes", [this] {
+      return static_cast<double>(transport_.counters().bytes_received);
+    });
+    metrics.RegisterGauge("yuccastair_settings_version", [this] {
+      return static_cast<double>(shared_settings_.Current()->version());
+    });
+    metrics.RegisterGauge("yuccastair_state_age_seconds", [this] {
+      return std::chrono::duration<double>(clock_.Now() - sync_.fresh_at())
+          .count();
+    });
+  }
+
   wire::Transport::Options TransportOptions() const {
     return {.listen = settings_.peer_listen.ToString(),
             .curve = CurveKeys(settings_)};
--- a/lib/observe/metrics.cc
+++ b/lib/observe/metrics.cc
@@ -119,6 +119,8 @@
 
 std::string Metrics::ToPrometheusText() const {
   std::ostringstream out;
+  // Enough for byte counts up to 10^15.
+  out.precision(15);
   std::lock_guard lock(mutex_);
   for (const auto& [name, family] : counters_) {
     out << "# TYPE " << name << " counter\n";
--- a/unittests/process_fleet.h
+++ b/unittests/process_fleet.h
@@ -249,6 +249,21 @@
     });
   }
 
+  /// Waits for a leader and returns its number; -1 if there is none in time.
+  int Leader() const {
+    int leader = -1;
+    WaitUntil([&] {
+      for (int i = 0; i < control_count_; ++i) {
+        const http::Exchange status =
+            SendHttp(OperatorAddress(i), "GET", "/v1/status");
+        if (status.response.body.find("\"leader\":true") != std::string::npos)
+          leader = i;
+      }
+      return leader >= 0;
+    });
+    return leader;
+  }
+
  private:
   bool TryChange(int control,
                  const std::string& operation,
--- a/unittests/state/settings_machine_test.cc
+++ b/unittests/state/settings_machine_test.cc
@@ -179,6 +179,7 @@
 TEST_CASE("a node gets nothing, a delta or the whole settings") {
   SettingsMachine machine;
   std::vector<wire::SettingsEdit> edits;
+  edits.reserve(20);
   for (int i = 0; i < 20; ++i)
     edits.push_back(PutOrganisation("o" + std::to_string(i), 1, 1));
   ApplyNext(machine, edits);
