Take a struggling suspected target for full, not for cold

Cause: at the start of an overload the initial limit of 32 puts more on a target than its 8 slots; the jump of latency was taken for a cold start, and the ramp that followed grew the limit to 24 to 31 while it ignored the latency. Calls waited in the target, whose callers held their own slots longer, until critical requests ran out of time in their queue.

Ruled out: the order of the queue and routing (both queues held the right calls); seen in the limit, queue and state that the nodes now show.

Change: a ramp that was only suspected, or that has had its time, and meets twice the baseline latency without failures ends; the limit starts again from the concurrency that the latency shows to be full.

--- a/include/yuccastair/admission/cold_ramp.h
+++ b/include/yuccastair/admission/cold_ramp.h
@@ -17,7 +17,9 @@
 /// The ramp advances at a quarter of the pace while the target struggles
 /// (latency over twice the baseline) and falls back while calls fail. A ramp
 /// that was started on a suspicion advances eight times as fast until the
-/// target struggles for the first time, which confirms the suspicion.
+/// target struggles for the first time. A target that is suspected, or has had
+/// the time of the ramp, and struggles without failing is full at the present
+/// cap; overload() then tells by how much.
 class ColdRamp {
  public:
   ColdRamp(const support::Clock& clock, ColdOptions options);
@@ -39,6 +41,11 @@
   /// The cap, at most \p full_limit.
   std::uint32_t Cap(std::uint32_t full_limit) const;
 
+  /// How far the target was loaded beyond what it can do at once, as the ratio
+  /// of its latency to that without queueing; 0 if it was not.
+  double overload() const { return overload_; }
+  support::Duration baseline() const { return baseline_; }
+
   /// Mean latency of the first complete window of this ramp; zero before.
   support::Duration first_latency() const { return first_latency_; }
 
@@ -49,6 +56,8 @@
   ColdOptions options_;
   bool active_ = false;
   bool suspected_ = false;
+  double overload_ = 0;
+  support::TimePoint started_at_;
   // In [0, 1].
   double progress_ = 0;
   double pace_ = 1;
--- a/include/yuccastair/admission/concurrency_limit.h
+++ b/include/yuccastair/admission/concurrency_limit.h
@@ -38,6 +38,10 @@
   /// Takes \p latency as the service time from now on.
   void Rebase(support::Duration latency);
 
+  /// Starts again from a limit at which the target was just full, with its
+  /// latency at little load.
+  void Restart(double limit, support::Duration baseline);
+
   /// Discards the window under way, for use after a time in which the limit
   /// was not the one in force.
   void RestartWindow();
--- a/lib/admission/admission.cc
+++ b/lib/admission/admission.cc
@@ -159,8 +159,14 @@
         }
         jump_latency_ = {};
       }
-      if (!ramp_.active())
+      if (ramp_.active() && ramp_.overload() > 0) {
+        // The jump of latency was overload and no cold start, or the ramp has
+        // come to what the target can do.
+        limit_.Restart(limit() / ramp_.overload(), ramp_.baseline());
+        ramp_.End();
+      } else if (!ramp_.active()) {
         limit_.RestartWindow();
+      }
     } else if (const auto jump = limit_.OnFinish(sample)) {
       jump_latency_ = *jump;
       StartRamp(true);
--- a/lib/admission/cold_ramp.cc
+++ b/lib/admission/cold_ramp.cc
@@ -30,6 +30,8 @@
   active_ = true;
   suspected_ = suspected;
   progress_ = 0;
+  overload_ = 0;
+  started_at_ = clock_.Now();
   pace_ = suspected ? kSuspectedPace : 1;
   baseline_ = baseline;
   first_latency_ = {};
@@ -59,6 +61,12 @@
   const bool failing = window_.FailureShare() >= kFailureShare;
   const bool slow = static_cast<double>(latency.count()) >
                     kStruggleLatency * static_cast<double>(baseline_.count());
+  const bool had_time = clock_.Now() - started_at_ >= options_.ramp;
+  if (slow && !failing && baseline_.count() > 0 && (suspected_ || had_time)) {
+    overload_ = static_cast<double>(latency.count()) /
+                static_cast<double>(baseline_.count());
+    return;
+  }
   if ((failing || slow) && suspected_) {
     suspected_ = false;
     progress_ /= 2;
--- a/lib/admission/concurrency_limit.cc
+++ b/lib/admission/concurrency_limit.cc
@@ -96,6 +96,12 @@
   RestartWindow();
 }
 
+void ConcurrencyLimit::Restart(double limit, support::Duration baseline) {
+  proven_limit_ = 0;
+  SetLimit(limit);
+  Rebase(baseline);
+}
+
 void ConcurrencyLimit::RestartWindow() {
   window_.Restart(clock_.Now());
 }
