Let small fractional limits grow

Cause: the limit of a target stayed at 4 or 5 of 8 slots for a whole run. The limit counts as used from 90% of its value on, but of 4.6 only 4 calls can run. Seen in the limit and running calls that nodes show every half second.

Ruled out: failures in the windows and a queue that runs empty (128 calls waited); a baseline that the ramp measured too low was part of it.

Change: use is judged by the whole calls that the limit allows, and a limit that was taken over from a ramp verifies its baseline at once.

--- a/lib/admission/concurrency_limit.cc
+++ b/lib/admission/concurrency_limit.cc
@@ -100,6 +100,9 @@
   proven_limit_ = 0;
   SetLimit(limit);
   Rebase(baseline);
+  // The ramp measures its baseline from few calls. One that is too low would
+  // stop growth for kStepInterval.
+  verify_baseline_ = true;
 }
 
 void ConcurrencyLimit::RestartWindow() {
@@ -201,7 +204,9 @@
   }
   if (ratio >= kJumpFactor)
     return true;
-  const bool used = peak >= 0.9 * limit_;
+  // The whole calls that the limit allows; of a limit of 4.6 no more than 4 can
+  // run, which is less than 90% of it.
+  const bool used = peak >= 0.9 * limit();
   const auto window = clock_.Now() - window_.started_at();
   const auto interval =
       std::max<support::Duration>(kStepInterval, kWindowsBetweenSteps * window);
