--- a/lib/routing/router.cc
+++ b/lib/routing/router.cc
@@ -60,14 +60,7 @@
       target.report && clock_.Now() - target.reported_at < kReportedStateHolds;
   const wire::TargetState state =
       recent ? target.report->state() : target.member.state();
-  switch (state) {
-    case wire::TARGET_STATE_UP:
-      return true;
-    case wire::TARGET_STATE_COLD:
-      return true;
-    default:
-      return false;
-  }
+  return state == wire::TARGET_STATE_UP || state == wire::TARGET_STATE_COLD;
 }
 
 bool Router::BeyondRamp(const Target& target) const {
