Say unknown where an earlier attempt may have run

Cause: the reply of the last attempt decided the outcome, so an idempotent call whose first attempt may have run was called not-run when the retry after it was refused.

Ruled out: the target side, which answers not-run only before it opens a connection; clients, which were not given more than one answer.

Change: a not-run after an unknown attempt becomes unknown. The test failed before the change.

Conclusion: the outcome now covers all attempts of a call.

--- a/lib/node/forwarder.cc
+++ b/lib/node/forwarder.cc
@@ -141,6 +141,8 @@
   Service& service = ServiceNamed(call.service());
   routing::AttemptBudget budget(call.attempt_budget());
   std::vector<std::string> tried;
+  // An earlier attempt ended without proof that it has not run.
+  bool may_have_run = false;
   wire::CallReply reply = NotRun(
       "routing", "no target of service " + call.service() + " takes calls");
   {
@@ -166,6 +168,7 @@
     call.set_attempt_budget(lent);
     Attempted attempted = Attempt(choice->address, call, deadline, caller_gone);
     reply = std::move(attempted.reply);
+    may_have_run |= reply.outcome() == wire::OUTCOME_UNKNOWN;
     // Nothing below can have used what was lent to a call that has not run.
     budget.Return(lent, reply.outcome() == wire::OUTCOME_NOT_RUN
                             ? lent
@@ -185,6 +188,9 @@
   }
   if (tried.empty() && Gone(caller_gone))
     reply = NotRun("caller", "the caller has gone");
+  // The last attempt was refused, but one before it may have run.
+  if (may_have_run && reply.outcome() == wire::OUTCOME_NOT_RUN)
+    reply.set_outcome(wire::OUTCOME_UNKNOWN);
   reply.set_unused_attempts(budget.left());
   return reply;
 }
--- a/unittests/node/forwarder_test.cc
+++ b/unittests/node/forwarder_test.cc
@@ -227,6 +227,17 @@
   CHECK(second.calls() == (idempotent ? 1 : 0));
 }
 
+// Guards against "not run" for a call whose first attempt may have run, because
+// the retry after it was refused.
+TEST_CASE_METHOD(ForwarderFixture, "a refused retry does not undo an attempt") {
+  FakeNode first(27321, Always(Unknown("target", "broken")));
+  FakeNode second(27322, Always(NotRun("admission", "full")));
+  SetMembers({first.address(), second.address()});
+  CHECK(Forward(MakeCall(true)).outcome() == wire::OUTCOME_UNKNOWN);
+  CHECK(first.calls() == 1);
+  CHECK(second.calls() == 1);
+}
+
 // Guards against calls that wait for a dead node until their deadline.
 TEST_CASE_METHOD(ForwarderFixture, "a node that stops answering is left") {
   const bool idempotent = GENERATE(false, true);
