Compute the distance of names in one place

Cause: the settings file and the schema each had the same function for the hint at a misspelt key.

Change: support::EditDistance serves both; no behaviour changes.

Checked: the tests of settings files, of the schema and of the reference page; lint of the three files.

Conclusion: one duplicate less.

--- a/lib/state/schema.cc
+++ b/lib/state/schema.cc
@@ -5,7 +5,8 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
-#include <vector>
+
+#include "yuccastair/support/edit_distance.h"
 
 namespace yuccastair::state {
 namespace {
@@ -72,22 +73,6 @@
   return std::nullopt;
 }
 
-std::size_t EditDistance(std::string_view a, std::string_view b) {
-  std::vector<std::size_t> row(b.size() + 1);
-  for (std::size_t j = 0; j <= b.size(); ++j)
-    row[j] = j;
-  for (std::size_t i = 1; i <= a.size(); ++i) {
-    std::size_t diagonal = row[0];
-    row[0] = i;
-    for (std::size_t j = 1; j <= b.size(); ++j) {
-      const std::size_t replaced = diagonal + (a[i - 1] == b[j - 1] ? 0 : 1);
-      diagonal = row[j];
-      row[j] = std::min({row[j] + 1, row[j - 1] + 1, replaced});
-    }
-  }
-  return row[b.size()];
-}
-
 }  // namespace
 
 const std::array<SettingKey, kSettingCount>& SettingKeys() {
@@ -148,8 +133,8 @@
   const auto& keys = SettingKeys();
   return std::min_element(keys.begin(), keys.end(),
                           [&](const SettingKey& a, const SettingKey& b) {
-                            return EditDistance(name, a.name) <
-                                   EditDistance(name, b.name);
+                            return support::EditDistance(name, a.name) <
+                                   support::EditDistance(name, b.name);
                           })
       ->name;
 }
--- a/lib/support/settings_file.cc
+++ b/lib/support/settings_file.cc
@@ -9,28 +9,12 @@
 #include <set>
 #include <sstream>
 
+#include "yuccastair/support/edit_distance.h"
 #include "yuccastair/support/error.h"
 
 namespace yuccastair::support {
 namespace {
 
-/// Edit distance between two keys, for the hint at an unknown key.
-std::size_t EditDistance(const std::string& a, const std::string& b) {
-  std::vector<std::size_t> row(b.size() + 1);
-  for (std::size_t j = 0; j <= b.size(); ++j)
-    row[j] = j;
-  for (std::size_t i = 1; i <= a.size(); ++i) {
-    std::size_t diagonal = row[0];
-    row[0] = i;
-    for (std::size_t j = 1; j <= b.size(); ++j) {
-      const std::size_t replaced = diagonal + (a[i - 1] == b[j - 1] ? 0 : 1);
-      diagonal = row[j];
-      row[j] = std::min({row[j] + 1, row[j - 1] + 1, replaced});
-    }
-  }
-  return row[b.size()];
-}
-
 std::string Nearest(const std::string& key,
                     const std::set<std::string>& known) {
   std::string best;
