--- a/include/yuccastair/admission/admission.h
+++ b/include/yuccastair/admission/admission.h
@@ -14,6 +14,7 @@
 #include "yuccastair/admission/cold_ramp.h"
 #include "yuccastair/admission/concurrency_limit.h"
 #include "yuccastair/admission/options.h"
+#include "yuccastair/admission/start_rate.h"
 #include "yuccastair/support/clock.h"
 
 namespace yuccastair::admission {
@@ -85,6 +86,10 @@
                  const std::string& incarnation,
                  Decisions& decisions);
 
+  /// The target is cold until then: calls start at most at the rate
+  /// ColdOptions::per_second. A time that has passed ends this.
+  void SetColdUntil(support::TimePoint until);
+
   /// The availability zone of this node is out of service.
   void SetZoneOut(bool zone_out) { zone_out_ = zone_out; }
 
@@ -109,7 +114,7 @@
   std::size_t queued() const { return queue_.size(); }
   /// The concurrency allowed now, with the cold ramp applied.
   std::uint32_t limit() const;
-  bool cold() const { return ramp_.active(); }
+  bool cold() const { return ramp_.active() || RateBound(); }
   wire::LoadReport Load() const;
 
   /// The service time of most calls of \p route; zero if none has finished
@@ -132,6 +137,8 @@
   Decision Describe(const Call& call, Verdict verdict, Reason reason) const;
   bool RejectState(Reason& reason) const;
   bool Hopeless(const Call& call, Reason& reason) const;
+  bool RateBound() const { return clock_.Now() < cold_until_; }
+  bool HasRoom();
   void Run(const Call& call, Decisions& decisions);
   void Dispatch(Decisions& decisions);
   void RejectAll(Reason reason, Decisions& decisions);
@@ -143,6 +150,8 @@
   Options options_;
   ConcurrencyLimit limit_;
   ColdRamp ramp_;
+  StartRate start_rate_;
+  support::TimePoint cold_until_;
   CallQueue queue_;
   std::unordered_map<std::uint64_t, Running> running_;
   std::unordered_map<std::string, ServiceTime> service_times_;
--- a/include/yuccastair/admission/call_queue.h
+++ b/include/yuccastair/admission/call_queue.h
@@ -30,6 +30,8 @@
   /// 1 for a call of a caller; more for work in progress.
   std::uint32_t depth = 1;
   support::TimePoint deadline;
+  /// The call is rejected if it still waits then.
+  support::TimePoint queue_until = support::TimePoint::max();
 };
 
 /// Orders calls by importance, then work in progress before new work, then
--- a/include/yuccastair/admission/options.h
+++ b/include/yuccastair/admission/options.h
@@ -26,6 +26,9 @@
 struct ColdOptions {
   std::uint32_t initial_limit = 4;
   std::chrono::milliseconds ramp{10000};
+  /// Calls a second that a cold target takes; 0 where only the ramp bounds
+  /// them.
+  double per_second = 0;
 };
 
 struct Options {
--- a/include/yuccastair/consensus/core.h
+++ b/include/yuccastair/consensus/core.h
@@ -21,9 +21,21 @@
 struct CoreOptions {
   /// Peer address of this process.
   std::string address;
-  /// Peer addresses of all processes. A process with a new identity is taken
-  /// into the configuration only at one of these addresses.
+  /// Peer addresses of all processes, or of some of them with
+  /// `open_membership`. Without it, a process with a new identity is taken into
+  /// the configuration only at one of these addresses.
   std::vector<std::string> peers;
+  /// Takes processes at unknown addresses into the configuration. Each process
+  /// learns the addresses of the others from the peers it greets.
+  bool open_membership = false;
+  /// Whether this process may form a new cluster with `peers`. With
+  /// `open_membership`, to be set only where all disks are known to be empty: a
+  /// process that lost its disk cannot tell a lost cluster from a new one.
+  bool may_form_cluster = true;
+  /// With `open_membership`, a voter that has not answered for this long is
+  /// removed where the number of voters is even, since an even number of voters
+  /// bears no more losses than one fewer.
+  std::chrono::milliseconds forget{2000};
   std::chrono::milliseconds heartbeat{100};
   /// A follower grants no vote for this long after it heard from a leader.
   std::chrono::milliseconds election_min{600};
@@ -99,6 +111,8 @@
   std::string LeaderAddress() const override;
   support::TimePoint CurrentAsOf() const override;
   CoreStatus status() const;
+  /// Addresses of the processes that are known, with and without a vote.
+  std::vector<std::string> KnownAddresses() const;
 
  private:
   class Impl;
--- a/include/yuccastair/control/control.h
+++ b/include/yuccastair/control/control.h
@@ -3,8 +3,10 @@
 #ifndef YUCCASTAIR_CONTROL_CONTROL_H_
 #define YUCCASTAIR_CONTROL_CONTROL_H_
 
+#include <functional>
 #include <memory>
 
+#include "policy.pb.h"
 #include "yuccastair/control/settings.h"
 
 namespace yuccastair::control {
@@ -19,6 +21,12 @@
   Control(const Control&) = delete;
   Control& operator=(const Control&) = delete;
 
+  /// Performs an operation on the routing policy, here or at the leader, and
+  /// calls \p done once, on a thread of this object. Safe for use by several
+  /// threads.
+  void OperatePolicy(wire::PolicyRequest request,
+                     std::function<void(const wire::PolicyReply&)> done);
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/include/yuccastair/control/settings.h
+++ b/include/yuccastair/control/settings.h
@@ -4,6 +4,7 @@
 #define YUCCASTAIR_CONTROL_SETTINGS_H_
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,8 +23,16 @@
   std::string data_dir;
   /// Peer addresses of all control processes, this one included.
   std::vector<support::Address> peers;
+  /// Peer addresses of some control processes, in place of `peers` where the
+  /// others are not known in advance.
+  std::vector<support::Address> seeds;
+  /// With `seeds`: whether this is the first start of the whole system, so that
+  /// the seeds may form a cluster.
+  bool form_cluster = false;
   /// Operator addresses of the same processes in the same order; may be empty.
   std::vector<support::Address> operator_peers;
+  /// Where the routing policy is operated; not served without it.
+  std::optional<support::Address> policy_listen;
   std::chrono::milliseconds member_expiry{};
   std::string curve_public_key;
   std::string curve_secret_key;
--- a/lib/node/fleet_view.h
+++ b/include/yuccastair/membership/fleet_view.h
@@ -1,7 +1,7 @@
 // What this node knows of the services that it calls.
 
-#ifndef YUCCASTAIR_LIB_NODE_FLEET_VIEW_H_
-#define YUCCASTAIR_LIB_NODE_FLEET_VIEW_H_
+#ifndef YUCCASTAIR_MEMBERSHIP_FLEET_VIEW_H_
+#define YUCCASTAIR_MEMBERSHIP_FLEET_VIEW_H_
 
 #include <cstdint>
 #include <map>
@@ -13,7 +13,7 @@
 #include "envelope.pb.h"
 #include "yuccastair/support/clock.h"
 
-namespace yuccastair::node {
+namespace yuccastair::membership {
 
 /// The members of the followed services, as the control processes report them.
 ///
@@ -56,6 +56,6 @@
   std::optional<support::TimePoint> applied_at_;
 };
 
-}  // namespace yuccastair::node
+}  // namespace yuccastair::membership
 
-#endif  // YUCCASTAIR_LIB_NODE_FLEET_VIEW_H_
+#endif  // YUCCASTAIR_MEMBERSHIP_FLEET_VIEW_H_
--- a/include/yuccastair/support/address.h
+++ b/include/yuccastair/support/address.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace yuccastair::support {
 
@@ -28,6 +29,10 @@
 /// Parses "ip:port"; returns nothing if the text is not of that form.
 std::optional<Address> ParseAddress(std::string_view text);
 
+/// Sets the port of every address where \p port is not 0: for addresses of
+/// processes that listen for peers at another port, equal on all instances.
+void SetPorts(std::vector<Address>& addresses, std::int64_t port);
+
 }  // namespace yuccastair::support
 
 #endif  // YUCCASTAIR_SUPPORT_ADDRESS_H_
--- a/lib/admission/admission.cc
+++ b/lib/admission/admission.cc
@@ -59,12 +59,28 @@
     : clock_(clock),
       options_(options),
       limit_(clock, options.limit),
-      ramp_(clock, options.cold) {}
+      ramp_(clock, options.cold),
+      start_rate_(options.cold.per_second, clock.Now()) {}
 
 void Admission::SetOptions(const Options& options) {
   options_ = options;
   limit_.SetOptions(options.limit);
   ramp_.SetOptions(options.cold);
+  start_rate_.SetRate(options.cold.per_second, clock_.Now());
+}
+
+void Admission::SetColdUntil(support::TimePoint until) {
+  const bool was_bound = RateBound();
+  cold_until_ = until;
+  if (!was_bound && RateBound())
+    start_rate_.Restart(clock_.Now());
+}
+
+bool Admission::HasRoom() {
+  if (running() >= limit())
+    return false;
+  return !RateBound() || options_.cold.per_second <= 0 ||
+         start_rate_.HasToken(clock_.Now());
 }
 
 void Admission::SetTarget(wire::TargetState state,
@@ -99,7 +115,7 @@
   load.set_queued(static_cast<std::uint32_t>(queue_.size()));
   load.set_limit(limit());
   wire::TargetState state = state_;
-  if (state == wire::TARGET_STATE_UP && ramp_.active())
+  if (state == wire::TARGET_STATE_UP && cold())
     state = wire::TARGET_STATE_COLD;
   if (zone_out_ || stopping_)
     state = wire::TARGET_STATE_LEAVING;
@@ -114,7 +130,7 @@
     return;
   }
   ramp_.Advance();
-  if (queue_.size() == 0 && running() < limit()) {
+  if (queue_.size() == 0 && HasRoom()) {
     queue_.Charge(call);
     Run(call, decisions);
     return;
@@ -181,6 +197,10 @@
   for (const Call& call : queue_.TakeOlderThan(now - options_.queue.timeout))
     decisions.push_back(
         Describe(call, Verdict::kReject, Reason::kQueueTimeout));
+  for (const Call& call : queue_.TakeIf(
+           [&](const Call& waiting) { return waiting.queue_until <= now; }))
+    decisions.push_back(
+        Describe(call, Verdict::kReject, Reason::kQueueTimeout));
   const auto passed =
       queue_.TakeIf([&](const Call& call) { return call.deadline <= now; });
   for (const Call& call : passed)
@@ -245,12 +265,14 @@
 
 void Admission::Run(const Call& call, Decisions& decisions) {
   running_[call.id] = Running{call.route, clock_.Now()};
+  if (RateBound())
+    start_rate_.Take(clock_.Now());
   limit_.OnStart(running());
   decisions.push_back(Describe(call, Verdict::kRun, Reason::kAdmitted));
 }
 
 void Admission::Dispatch(Decisions& decisions) {
-  while (running() < limit()) {
+  while (HasRoom()) {
     const auto call = queue_.Pop();
     if (!call)
       return;
--- a/lib/consensus/core.cc
+++ b/lib/consensus/core.cc
@@ -307,6 +307,10 @@
 support::TimePoint Core::CurrentAsOf() const {
   return impl_->CurrentAsOf();
 }
+std::vector<std::string> Core::KnownAddresses() const {
+  return impl_->KnownAddresses();
+}
+
 CoreStatus Core::status() const {
   return impl_->Status();
 }
--- a/lib/consensus/core_election.cc
+++ b/lib/consensus/core_election.cc
@@ -158,7 +158,8 @@
     if (Now() >= follower.last_sent + options_.heartbeat)
       SendHeartbeat(identity, follower);
   }
-  if (CanChangeConfig() && !DropStaleLearner() && !PromoteLearner())
+  if (CanChangeConfig() && !DropStaleLearner() && !PromoteLearner() &&
+      !RemoveSurplusVoter())
     AdmitLearner();
 }
 
--- a/lib/consensus/core_impl.h
+++ b/lib/consensus/core_impl.h
@@ -34,6 +34,7 @@
   std::string LeaderAddress() const { return leader_address_; }
   support::TimePoint CurrentAsOf() const;
   CoreStatus Status() const;
+  std::vector<std::string> KnownAddresses() const;
 
  private:
   using TimePoint = support::TimePoint;
@@ -147,6 +148,8 @@
   bool DropStaleLearner();
   bool PromoteLearner();
   bool AdmitLearner();
+  bool RemoveSurplusVoter();
+  void LearnAddress(const std::string& address);
   void SendHellos();
   void HandleHello(const wire::ConsensusMessage& message);
   void BootstrapIfPossible();
@@ -192,7 +195,9 @@
   std::deque<Confirmation> confirmations_;
   TimePoint current_as_of_;
 
-  // Last greeting from each configured address.
+  // Addresses learned from greetings, beyond CoreOptions::peers. Bounded.
+  std::set<std::string> learned_;
+  // Last greeting from each known address.
   std::map<std::string, Greeting> greetings_;
   TimePoint last_hello_ = kNever;
 
--- a/lib/consensus/core_membership.cc
+++ b/lib/consensus/core_membership.cc
@@ -10,6 +10,9 @@
 
 // A greeting older than this no longer shows who is at an address.
 constexpr std::chrono::milliseconds kGreetingLifetime{1000};
+// Bounds the addresses that greetings can add; far above the number of control
+// processes of a deployment (at most 11).
+constexpr std::size_t kMaxLearnedAddresses = 64;
 
 }  // namespace
 
@@ -171,13 +174,15 @@
 
 /// A process that is no member makes itself known until it is one. The entry
 /// that made it a learner may be replaced by that of another leader, so a
-/// learner without a leader goes on.
+/// learner without a leader goes on. With open membership a voter without a
+/// leader may have been removed, which only its greeting can mend.
 void Core::Impl::SendHellos() {
-  if (IsVoter(Self()) || (FindMember(Self()) && HeardFromLeader()) ||
+  const bool heard = FindMember(Self()) && HeardFromLeader();
+  if (heard || (IsVoter(Self()) && !options_.open_membership) ||
       Now() < last_hello_ + options_.hello)
     return;
   last_hello_ = Now();
-  for (const std::string& address : options_.peers) {
+  for (const std::string& address : KnownAddresses()) {
     if (address == options_.address)
       continue;
     wire::ConsensusMessage message = Message("");
@@ -188,9 +193,14 @@
 
 void Core::Impl::HandleHello(const wire::ConsensusMessage& message) {
   const std::string& address = message.from_address();
-  if (std::find(options_.peers.begin(), options_.peers.end(), address) ==
-      options_.peers.end())
+  if (options_.open_membership) {
+    LearnAddress(address);
+    for (const std::string& known : message.hello().known_addresses())
+      LearnAddress(known);
+  } else if (std::find(options_.peers.begin(), options_.peers.end(), address) ==
+             options_.peers.end()) {
     return;
+  }
   Greeting& greeting = greetings_[address];
   if (greeting.identity != message.from())
     greeting = {.identity = message.from()};
@@ -206,13 +216,59 @@
   wire::ConsensusMessage answer = Message(message.from());
   answer.mutable_hello()->set_answer(true);
   answer.mutable_hello()->set_has_state(log_.config().members_size() > 0);
+  if (options_.open_membership) {
+    for (const std::string& known : KnownAddresses())
+      answer.mutable_hello()->add_known_addresses(known);
+  }
   Post(address, std::move(answer));
 }
 
+void Core::Impl::LearnAddress(const std::string& address) {
+  if (learned_.size() < kMaxLearnedAddresses)
+    learned_.insert(address);
+}
+
+std::vector<std::string> Core::Impl::KnownAddresses() const {
+  std::set<std::string> known(options_.peers.begin(), options_.peers.end());
+  known.insert(learned_.begin(), learned_.end());
+  for (const wire::ConsensusMember& member : log_.config().members())
+    known.insert(member.address());
+  return {known.begin(), known.end()};
+}
+
+/// Removes a voter that does not answer where the number of voters is even. So
+/// a process that has moved to another address replaces the one that is gone.
+bool Core::Impl::RemoveSurplusVoter() {
+  if (!options_.open_membership)
+    return false;
+  std::size_t voters = 0;
+  const wire::ConsensusMember* silent = nullptr;
+  for (const wire::ConsensusMember& member : log_.config().members()) {
+    if (member.learner())
+      continue;
+    ++voters;
+    const auto found = followers_.find(member.identity());
+    if (found != followers_.end() &&
+        Now() >= std::max(found->second.acknowledged_sent_at, leader_since_) +
+                     options_.forget)
+      silent = &member;
+  }
+  if (silent == nullptr || voters % 2 != 0)
+    return false;
+  support::LogInfo("log.member_removed", {{"address", silent->address()},
+                                          {"identity", silent->identity()},
+                                          {"voters", voters}});
+  return RemoveMember(std::string(silent->identity()));
+}
+
 /// Forms a new cluster if every configured process has just said that it holds
 /// no configuration. Only the one with the lowest address does so.
 void Core::Impl::BootstrapIfPossible() {
-  if (log_.config().members_size() > 0 || log_.last_index() > 0)
+  if (!options_.may_form_cluster || log_.config().members_size() > 0 ||
+      log_.last_index() > 0)
+    return;
+  if (std::find(options_.peers.begin(), options_.peers.end(),
+                options_.address) == options_.peers.end())
     return;
   wire::ConsensusConfig config;
   config.set_cluster_id(Self());
--- a/lib/control/control.cc
+++ b/lib/control/control.cc
@@ -3,17 +3,20 @@
 #include "yuccastair/control/control.h"
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <set>
 #include <thread>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include "claim_service.h"
 #include "crash_service.h"
 #include "log_runner.h"
 #include "operator_api.h"
+#include "policy_service.h"
 #include "rate_service.h"
 #include "settings_sync.h"
 #include "sync_service.h"
@@ -22,6 +25,7 @@
 #include "yuccastair/http/server.h"
 #include "yuccastair/membership/registry.h"
 #include "yuccastair/observe/event_log.h"
+#include "yuccastair/policy/policy_table.h"
 #include "yuccastair/rates/ledger_record.h"
 #include "yuccastair/state/settings_machine.h"
 #include "yuccastair/support/bounded_ring.h"
@@ -73,6 +77,7 @@
         rate_service_(log_, clock_, Limits()),
         claim_service_(log_, claim_table_, clock_),
         crash_service_(log_, fingerprint_table_, clock_),
+        policy_service_(log_, policy_table_, clock_, ForwardPolicy()),
         sync_service_(SyncOptions(), registry_, clock_),
         events_(kEventRingCapacity),
         operator_api_(OperatorOptions(),
@@ -85,6 +90,7 @@
     log_.Register(wire::TABLE_RATES, ledger_record_);
     log_.Register(wire::TABLE_CLAIMS, claim_table_);
     log_.Register(wire::TABLE_FINGERPRINTS, fingerprint_table_);
+    log_.Register(wire::TABLE_POLICY, policy_table_);
     core_ = std::thread([this] { RunOrExit([this] { Run(); }); });
     operator_server_.emplace(OperatorServerOptions());
     support::LogInfo("control.started",
@@ -98,7 +104,25 @@
     core_.join();
   }
 
+  void OperatePolicy(wire::PolicyRequest request, PolicyService::Done done) {
+    std::function<void()> task = [this, request = std::move(request), done] {
+      policy_service_.Operate(request, done);
+    };
+    if (!events_.TryPush(std::move(task)))
+      done({});
+  }
+
  private:
+  PolicyService::Forward ForwardPolicy() {
+    return [this](const std::string& address, std::uint64_t number,
+                  const wire::PolicyRequest& request) {
+      wire::Envelope envelope;
+      envelope.set_correlation(number);
+      *envelope.mutable_policy_request() = request;
+      transport_.Send(address, std::move(envelope));
+    };
+  }
+
   wire::Transport::Options TransportOptions() const {
     std::optional<wire::CurveKeyPair> curve;
     if (!settings_.curve_public_key.empty())
@@ -137,6 +161,9 @@
       settings_sync_.Fill(sync, reply);
       fingerprint_table_.FillUpdate(sync.fingerprint_version(),
                                     *reply.mutable_fingerprints());
+      policy_service_.Fill(sync, reply);
+      for (const std::string& address : log_.ControlAddresses())
+        reply.add_control_addresses(address);
     };
     return options;
   }
@@ -185,6 +212,8 @@
       rate_service_.Tick();
       claim_service_.Tick();
       crash_service_.Tick();
+      policy_service_.Tick();
+      FollowControlProcesses();
       log_.Flush();
     }
   }
@@ -194,6 +223,11 @@
   rates::LimitLookup Limits() const {
     return [this](const std::string& organisation)
                -> std::optional<rates::RateLimit> {
+      for (const wire::PolicyOrganisation& candidate :
+           policy_table_.state().policy().organisations()) {
+        if (candidate.name() == organisation && candidate.rate() > 0)
+          return rates::RateLimit{candidate.rate(), candidate.burst()};
+      }
       const wire::SettingsEntry* entry =
           settings_table_.tree().Find("organisation/" + organisation);
       if (entry == nullptr)
@@ -238,6 +272,16 @@
           });
       return;
     }
+    if (request.envelope.has_policy_request()) {
+      policy_service_.OperateAsLeader(
+          request.envelope.policy_request(),
+          [this, route = request.route,
+           answer = std::move(answer)](const wire::PolicyReply& reply) mutable {
+            *answer.mutable_policy_reply() = reply;
+            transport_.Reply(route, std::move(answer));
+          });
+      return;
+    }
     if (request.envelope.has_membership_pull()) {
       *answer.mutable_membership_delta() =
           sync_service_.Handle(request.envelope.membership_pull());
@@ -255,14 +299,34 @@
     if (answer.envelope.has_membership_delta())
       sync_service_.HandleDelta(answer.address, answer.envelope.correlation(),
                                 answer.envelope.membership_delta());
+    else if (answer.envelope.has_policy_reply())
+      policy_service_.HandleReply(answer.envelope.correlation(),
+                                  answer.envelope.policy_reply());
+  }
+
+  /// Follows the members of the log where they are not known in advance.
+  void FollowControlProcesses() {
+    if (settings_.seeds.empty())
+      return;
+    std::vector<std::string> others = log_.ControlAddresses();
+    std::erase(others, settings_.peer_listen.ToString());
+    if (others == other_controls_)
+      return;
+    support::LogInfo("control.members_changed", {{"others", others}});
+    sync_service_.SetPeers(others);
+    other_controls_ = std::move(others);
   }
 
   /// Follows the zones that operators have taken out of service.
   void FollowZones() {
-    if (settings_table_.version() == zones_version_)
+    const std::uint64_t revision = policy_table_.state().zones_revision();
+    if (settings_table_.version() == zones_version_ &&
+        revision == policy_zones_revision_)
       return;
     zones_version_ = settings_table_.version();
-    std::set<std::string> zones;
+    policy_zones_revision_ = revision;
+    const auto& policy_zones = policy_table_.state().zones_out();
+    std::set<std::string> zones(policy_zones.begin(), policy_zones.end());
     const auto& entries = settings_table_.tree().entries();
     for (auto it = entries.lower_bound("zone/"); it != entries.end(); ++it) {
       if (!it->second.has_zone_out())
@@ -281,13 +345,17 @@
   rates::LedgerRecord ledger_record_;
   claims::ClaimTable claim_table_;
   claims::FingerprintTable fingerprint_table_;
+  policy::PolicyTable policy_table_;
   LogRunner log_;
   SettingsSync settings_sync_;
   RateService rate_service_;
   ClaimService claim_service_;
   CrashService crash_service_;
+  PolicyService policy_service_;
   SyncService sync_service_;
+  std::vector<std::string> other_controls_;
   std::uint64_t zones_version_ = 0;
+  std::uint64_t policy_zones_revision_ = 0;
   support::BoundedRing<CoreEvent> events_;
   OperatorApi operator_api_;
   wire::Transport transport_;
@@ -300,4 +368,10 @@
 
 Control::~Control() = default;
 
+void Control::OperatePolicy(
+    wire::PolicyRequest request,
+    std::function<void(const wire::PolicyReply&)> done) {
+  impl_->OperatePolicy(std::move(request), std::move(done));
+}
+
 }  // namespace yuccastair::control
--- a/lib/control/log_runner.cc
+++ b/lib/control/log_runner.cc
@@ -23,6 +23,13 @@
   options.address = settings.peer_listen.ToString();
   for (const support::Address& peer : settings.peers)
     options.peers.push_back(peer.ToString());
+  if (!settings.seeds.empty()) {
+    options.open_membership = true;
+    options.may_form_cluster = settings.form_cluster;
+    for (const support::Address& seed : settings.seeds)
+      options.peers.push_back(seed.ToString());
+    return options;
+  }
   const auto& peers = options.peers;
   if (!peers.empty() &&
       std::find(peers.begin(), peers.end(), options.address) == peers.end())
@@ -159,6 +166,14 @@
   reply.set_age_ms(AgeMs());
 }
 
+std::vector<std::string> LogRunner::ControlAddresses() const {
+  std::vector<std::string> addresses;
+  const consensus::CoreStatus status = core_->status();
+  for (const wire::ConsensusMember& member : status.config.members())
+    addresses.push_back(member.address());
+  return addresses.empty() ? core_->KnownAddresses() : addresses;
+}
+
 void RunOrExit(const std::function<void()>& work) {
   try {
     work();
--- a/lib/control/log_runner.h
+++ b/lib/control/log_runner.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "envelope.pb.h"
 #include "probe_table.h"
@@ -47,6 +48,9 @@
 
   /// Fills in the leader's address and the age of the confirmed state.
   void FillReply(wire::SyncReply& reply) const;
+  /// Addresses of the processes that hold the log, or of those that are known
+  /// while there is no cluster.
+  std::vector<std::string> ControlAddresses() const;
   std::uint32_t AgeMs() const;
 
  private:
--- a/lib/control/settings.cc
+++ b/lib/control/settings.cc
@@ -12,8 +12,13 @@
   settings.availability_zone = file.RequireString("control.availability_zone");
   settings.peer_listen = file.RequireAddress("control.peer_listen");
   settings.operator_listen = file.RequireAddress("control.operator_listen");
+  settings.policy_listen = file.GetAddress("control.policy_listen");
   settings.data_dir = file.RequireString("control.data_dir");
   settings.peers = file.GetAddresses("control.peers");
+  settings.seeds = file.GetAddresses("control.seeds");
+  support::SetPorts(settings.seeds,
+                    file.GetInteger("control.seed_peer_port", 0, 0, 65535));
+  settings.form_cluster = file.GetBoolean("control.form_cluster", false);
   settings.operator_peers = file.GetAddresses("control.operator_peers");
   settings.member_expiry =
       file.GetMilliseconds("control.member_expiry_ms", milliseconds(3000),
--- a/lib/control/sync_service.cc
+++ b/lib/control/sync_service.cc
@@ -14,6 +14,13 @@
     peers_[peer];
 }
 
+void SyncService::SetPeers(const std::vector<std::string>& peers) {
+  std::map<std::string, Peer> kept;
+  for (const std::string& peer : peers)
+    kept[peer] = peers_[peer];
+  peers_ = std::move(kept);
+}
+
 wire::SyncReply SyncService::Handle(const wire::SyncRequest& request) {
   wire::SyncReply reply;
   // A message without a sender says nothing about any node.
--- a/lib/control/sync_service.h
+++ b/lib/control/sync_service.h
@@ -49,6 +49,9 @@
                    std::uint64_t number,
                    const wire::MembershipDelta& delta);
 
+  /// Exchanges membership with these processes from now on.
+  void SetPeers(const std::vector<std::string>& peers);
+
   /// Expires members and sends pulls that are due.
   void Tick();
 
--- a/lib/node/fleet_view.cc
+++ b/lib/membership/fleet_view.cc
@@ -1,8 +1,8 @@
 // Applies membership reports of the control processes.
 
-#include "fleet_view.h"
+#include "yuccastair/membership/fleet_view.h"
 
-namespace yuccastair::node {
+namespace yuccastair::membership {
 
 std::vector<wire::Member> FleetView::MembersOf(const std::string& service) {
   std::lock_guard lock(mutex_);
@@ -68,4 +68,4 @@
   return clock_.Now() - *applied_at_;
 }
 
-}  // namespace yuccastair::node
+}  // namespace yuccastair::membership
--- a/lib/node/forwarder.cc
+++ b/lib/node/forwarder.cc
@@ -58,7 +58,7 @@
   routing::RetryShare share;
 };
 
-Forwarder::Forwarder(FleetView& fleet,
+Forwarder::Forwarder(membership::FleetView& fleet,
                      wire::Transport& transport,
                      wire::PendingCalls& pending,
                      std::function<void()> wake_sync,
--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -7,7 +7,6 @@
 #include <utility>
 
 #include "entry.h"
-#include "fleet_view.h"
 #include "forwarder.h"
 #include "leader_channel.h"
 #include "leader_hint.h"
@@ -19,6 +18,7 @@
 #include "sync_client.h"
 #include "target_side.h"
 #include "yuccastair/http/server.h"
+#include "yuccastair/membership/fleet_view.h"
 #include "yuccastair/support/id.h"
 #include "yuccastair/support/log.h"
 #include "yuccastair/wire/pending_calls.h"
@@ -341,7 +341,7 @@
   RunningCalls running_;
   // Used by the transport thread only.
   ReceiveGap receive_gap_;
-  FleetView fleet_;
+  membership::FleetView fleet_;
   TargetSide target_;
   // Called by the transport thread, so it outlives the transport.
   Forwarder forwarder_;
--- a/lib/node/sync_client.cc
+++ b/lib/node/sync_client.cc
@@ -2,11 +2,10 @@
 
 #include "sync_client.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <utility>
 
+#include "yuccastair/membership/home_order.h"
 #include "yuccastair/support/log.h"
 
 namespace yuccastair::node {
@@ -14,21 +13,6 @@
 
 constexpr int kMissedAnswersBeforeMove = 2;
 
-/// Orders the control processes for one node by rendezvous hashing, so that the
-/// nodes spread evenly and few move when a control process is gone.
-std::vector<std::string> OrderFor(std::vector<std::string> controls,
-                                  const std::string& node_id) {
-  const auto weight = [&](const std::string& control) {
-    const std::string text = control + '|' + node_id;
-    return XXH3_64bits(text.data(), text.size());
-  };
-  std::sort(controls.begin(), controls.end(),
-            [&](const std::string& a, const std::string& b) {
-              return weight(a) > weight(b);
-            });
-  return controls;
-}
-
 }  // namespace
 
 SyncClient::SyncClient(Options options,
@@ -61,7 +45,7 @@
 
 void SyncClient::Run() {
   const std::vector<std::string> controls =
-      OrderFor(options_.controls, options_.node_id);
+      membership::OrderForNode(options_.controls, options_.node_id);
   std::size_t current = 0;
   int missed = 0;
   while (true) {
--- /dev/null
+++ b/lib/policy/policy_table.cc
@@ -0,0 +1,83 @@
+// Applies changes of the routing policy.
+
+#include "yuccastair/policy/policy_table.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+#include "yuccastair/support/error.h"
+
+namespace yuccastair::policy {
+namespace {
+
+std::uint64_t DigestOf(const wire::PolicyPut& put) {
+  const std::string& source = put.policy().source();
+  return XXH3_64bits_withSeed(source.data(), source.size(), put.base_version());
+}
+
+}  // namespace
+
+std::string PolicyTable::Apply(std::uint64_t /*index*/,
+                               const std::string& command) {
+  wire::PolicyRequest request;
+  wire::PolicyReply reply;
+  if (!request.ParseFromString(command))
+    return reply.SerializeAsString();
+  if (request.has_put()) {
+    reply.set_status(Put(request.put()));
+  } else if (request.has_zone()) {
+    SetZone(request.zone());
+    reply.set_status(wire::POLICY_STATUS_DONE);
+  }
+  reply.set_version(state_.policy().version());
+  return reply.SerializeAsString();
+}
+
+wire::PolicyStatus PolicyTable::Put(const wire::PolicyPut& put) {
+  const std::uint64_t version = put.policy().version();
+  const std::uint64_t digest = DigestOf(put);
+  const auto& accepted = state_.accepted();
+  const bool resent = std::any_of(
+      accepted.begin(), accepted.end(), [&](const wire::AcceptedPolicy& entry) {
+        return entry.version() == version && entry.digest() == digest;
+      });
+  if (resent)
+    return wire::POLICY_STATUS_DONE;
+  if (put.base_version() != state_.policy().version() ||
+      version <= state_.policy().version())
+    return wire::POLICY_STATUS_CONFLICT;
+  *state_.mutable_policy() = put.policy();
+  if (state_.accepted_size() >= kMaxAccepted)
+    state_.mutable_accepted()->DeleteSubrange(0, kMaxAccepted / 2);
+  wire::AcceptedPolicy* entry = state_.add_accepted();
+  entry->set_version(version);
+  entry->set_digest(digest);
+  return wire::POLICY_STATUS_DONE;
+}
+
+void PolicyTable::SetZone(const wire::ZoneChange& change) {
+  auto* zones = state_.mutable_zones_out();
+  const auto found = std::find(zones->begin(), zones->end(), change.zone());
+  if ((found != zones->end()) == change.out())
+    return;
+  if (change.out())
+    state_.add_zones_out(change.zone());
+  else
+    zones->erase(found);
+  state_.set_zones_revision(state_.zones_revision() + 1);
+}
+
+std::string PolicyTable::TakeSnapshot() const {
+  return state_.SerializeAsString();
+}
+
+void PolicyTable::RestoreSnapshot(const std::string& snapshot) {
+  wire::PolicyState state;
+  if (!state.ParseFromString(snapshot))
+    throw support::Error("restore snapshot", "",
+                         "the snapshot of the policy cannot be decoded");
+  state_ = std::move(state);
+}
+
+}  // namespace yuccastair::policy
--- /dev/null
+++ b/lib/relay/control_link.h
@@ -0,0 +1,79 @@
+// Keeps a relay in step with the control processes.
+
+#ifndef YUCCASTAIR_LIB_RELAY_CONTROL_LINK_H_
+#define YUCCASTAIR_LIB_RELAY_CONTROL_LINK_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "envelope.pb.h"
+#include "yuccastair/stream/types.h"
+#include "yuccastair/support/clock.h"
+#include "yuccastair/wire/transport.h"
+
+namespace yuccastair::relay {
+
+/// Syncs with one control process at a time, and moves to another one where it
+/// does not answer or its own view is old. Used on the thread of its
+/// io_context; the transport's thread only posts to it.
+class ControlLink {
+ public:
+  struct Options {
+    std::vector<std::string> seeds;
+    std::string node_id;
+    std::function<void(wire::SyncRequest&)> fill;
+    std::function<void(const wire::SyncReply&)> apply;
+    std::function<void(const wire::RateGrant&)> apply_grant;
+  };
+
+  ControlLink(stream::asio::io_context& context,
+              const support::Clock& clock,
+              Options options);
+
+  /// Syncs now in place of at the end of the interval.
+  void Wake();
+  void SendRateRequest(const wire::RateRequest& request);
+  void SetSeeds(std::vector<std::string> seeds);
+
+  /// Time at which what this relay knows was last known to be current.
+  support::TimePoint fresh_at() const { return fresh_at_; }
+
+ private:
+  void OnAnswer(wire::Envelope envelope);
+  stream::Task<void> Run();
+  stream::Task<bool> SyncOnce();
+  bool Apply(const wire::SyncReply& reply);
+  void Move();
+  void ChooseOrder();
+
+  stream::asio::io_context& context_;
+  const support::Clock& clock_;
+  Options options_;
+  // Addresses that the control processes report; empty before the first sync.
+  std::vector<std::string> reported_;
+  // In the order in which they are asked, and the one asked now.
+  std::vector<std::string> order_;
+  std::size_t current_ = 0;
+  std::size_t moves_since_answer_ = 0;
+  int missed_ = 0;
+  std::string leader_;
+  std::uint64_t next_correlation_ = 1;
+  std::uint64_t awaited_ = 0;
+  std::optional<wire::SyncReply> reply_;
+  support::TimePoint fresh_at_;
+  bool wake_requested_ = false;
+  // Wait for an answer, and for the next sync.
+  stream::asio::steady_timer answered_;
+  stream::asio::steady_timer pause_;
+  // Last, so that its thread ends before what it posts to.
+  wire::Transport transport_;
+};
+
+}  // namespace yuccastair::relay
+
+#endif  // YUCCASTAIR_LIB_RELAY_CONTROL_LINK_H_
--- /dev/null
+++ b/lib/relay/entry.cc
@@ -0,0 +1,353 @@
+// From a caller's request to its answer.
+
+#include "entry.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "peer_protocol.h"
+#include "send.h"
+#include "yuccastair/support/id.h"
+#include "yuccastair/support/log.h"
+
+namespace yuccastair::relay {
+namespace {
+
+namespace http = stream::http;
+using std::chrono::milliseconds;
+using stream::Task;
+
+// Relays that one request is offered to before it is refused. Their refusals
+// reach no target, so they cost little, but each takes time.
+constexpr std::size_t kMaxPlacements = 3;
+// Part of the objective that a request may wait for a slot. An answer later
+// than the objective is worth less, and a caller that is refused early can come
+// back in time.
+constexpr int kQueueShare = 4;
+constexpr milliseconds kMinQueueTime{20};
+// A repeat needs at least this part of the time that the request had.
+constexpr int kRepeatNeedsShare = 4;
+// Callers that are refused come back spread over a time up to this one.
+constexpr milliseconds kMaxRetryAfter{1000};
+constexpr milliseconds kMinRetryAfter{50};
+// A caller waits at most a third of the time it has left; the spread stays
+// below that.
+constexpr int kRetryAfterShare = 4;
+
+wire::Importance ImportanceOf(std::uint32_t rank) {
+  return static_cast<wire::Importance>(
+      std::min<std::uint32_t>(rank, wire::IMPORTANCE_LOW));
+}
+
+std::string Text(const stream::Fields& fields, const std::string& name) {
+  return std::string(fields[name]);
+}
+
+http::header<false> HeadWith(unsigned status) {
+  http::header<false> head;
+  head.result(status);
+  return head;
+}
+
+/// Seconds with three decimals, as Retry-After carries them.
+std::string ToSeconds(milliseconds time) {
+  const std::string fraction = std::to_string(1000 + time.count() % 1000);
+  return std::to_string(time.count() / 1000) + "." + fraction.substr(1);
+}
+
+}  // namespace
+
+Entry::Entry(Parts parts, std::string own_id, std::string service)
+    : parts_(parts), own_id_(std::move(own_id)), service_(std::move(service)) {}
+
+Task<void> Entry::Handle(stream::ServerExchange& exchange) {
+  Request request;
+  request.began = parts_.clock.Now();
+  Refusal refusal;
+  const bool prepared = Prepare(exchange.head(), request, refusal);
+  const stream::ErrorCode error = co_await exchange.ReadBody(request.call.body);
+  if (error) {
+    if (exchange.body_too_large()) {
+      refusal = {413, "the body is too large"};
+      co_await Refuse(exchange, request, refusal);
+    } else if (error == stream::beast::error::timeout ||
+               error == http::error::partial_message ||
+               error == stream::asio::error::connection_reset) {
+      exchange.Abort();
+    } else {
+      refusal = {400, "the body cannot be read: " + error.message()};
+      co_await Refuse(exchange, request, refusal);
+    }
+    co_return;
+  }
+  if (!prepared) {
+    co_await Refuse(exchange, request, refusal);
+    co_return;
+  }
+  RelayCall& call = request.call;
+  if (call.body.whole()) {
+    exchange.Watch([&call] { call.cancellation.Request(); });
+  } else {
+    // While a long body is read, the end of the caller shows there.
+    call.body.more = [&call, more = std::move(call.body.more)](
+                         std::string& out,
+                         bool& done) -> Task<stream::ErrorCode> {
+      const stream::ErrorCode read_error = co_await more(out, done);
+      if (read_error)
+        call.cancellation.Request();
+      co_return read_error;
+    };
+  }
+  const wire::PolicyOrganisation* organisation =
+      request.policy->FindOrganisation(call.organisation);
+  if (organisation != nullptr && organisation->rate() > 0 &&
+      !co_await parts_.rates.Take(call.organisation)) {
+    refusal = {429, "the organisation is over its rate",
+               parts_.rates.RetryAfter(call.organisation)};
+    co_await Refuse(exchange, request, refusal);
+    co_return;
+  }
+  CallResult result = co_await Send(request);
+  co_await Answer(exchange, request, std::move(result));
+}
+
+/// Reads the request as far as it decides what is allowed.
+bool Entry::Prepare(const http::header<true>& head,
+                    Request& request,
+                    Refusal& refusal) {
+  RelayCall& call = request.call;
+  const HeaderNames& names = parts_.names;
+  call.head = head;
+  call.request_id = Text(head, names.request_id);
+  if (call.request_id.empty())
+    call.request_id = support::RandomId();
+  const std::string announced = Text(head, names.deadline);
+  const std::string credentials = Text(head, names.key);
+  for (const std::string& name :
+       {names.request_id, names.deadline, names.organisation,
+        names.caller_service, names.expected_target, names.key})
+    call.head.erase(name);
+  RemovePeerHeaders(call.head);
+  stream::RemoveHopByHop(call.head);
+  call.caller_service = service_;
+
+  request.policy = parts_.fleet.policy();
+  if (!request.policy) {
+    refusal = {503, "no policy is known yet", kMinRetryAfter};
+    return false;
+  }
+  request.route = request.policy->FindRoute(
+      Text(head, "host"), {head.target().data(), head.target().size()});
+  if (request.route == nullptr) {
+    refusal = {404, "no route matches"};
+    return false;
+  }
+  call.route = request.route->name();
+  call.idempotent = request.route->idempotent();
+  call.importance = ImportanceOf(request.route->rank());
+  SetDeadlines(announced, request);
+  if (!Authorise(credentials, request, refusal))
+    return false;
+  call.service = parts_.fleet.shares().Pick(*request.route);
+  return true;
+}
+
+bool Entry::Authorise(const std::string& credentials,
+                      Request& request,
+                      Refusal& refusal) const {
+  RelayCall& call = request.call;
+  if (request.policy->policy().organisations().empty())
+    return true;
+  if (request.route->open()) {
+    // What a running target asks for, or a route for everybody. Refusing the
+    // former wastes the work of the request that runs.
+    call.importance = wire::IMPORTANCE_CRITICAL;
+    call.depth = 2;
+    return true;
+  }
+  const std::string prefix = parts_.names.key_scheme + " ";
+  const wire::PolicyOrganisation* organisation = nullptr;
+  if (credentials.compare(0, prefix.size(), prefix) == 0)
+    organisation = request.policy->FindByKey(credentials.substr(prefix.size()));
+  if (organisation == nullptr) {
+    refusal = {401, "the key is not known"};
+    return false;
+  }
+  call.organisation = organisation->name();
+  if (organisation->has_rank())
+    call.importance = ImportanceOf(organisation->rank());
+  return true;
+}
+
+void Entry::SetDeadlines(const std::string& announced, Request& request) const {
+  const wire::PolicyRoute& route = *request.route;
+  milliseconds left(route.timeout_ms());
+  std::int64_t stated = 0;
+  const auto parsed = std::from_chars(
+      announced.data(), announced.data() + announced.size(), stated);
+  if (!announced.empty() && parsed.ec == std::errc())
+    left = std::min(left, milliseconds(stated));
+  request.call.deadline = request.began + left;
+  const milliseconds wait =
+      std::max(kMinQueueTime, milliseconds(route.objective_ms()) / kQueueShare);
+  request.call.queue_until =
+      std::min(request.call.deadline, request.began + wait);
+}
+
+Task<CallResult> Entry::Send(Request& request) {
+  RelayCall& call = request.call;
+  ServiceRoute& service = parts_.fleet.RouteTo(call.service);
+  service.retries.OnFirstAttempt();
+  CallResult result = CallResult::NotRun("no target can be reached");
+  while (true) {
+    const auto choice = service.router.Choose(call.idempotent, request.tried);
+    if (!choice)
+      co_return result;
+    request.tried.push_back(choice->node_id);
+    result = co_await Attempt(request, *choice);
+    if (result.reached_target)
+      ++request.reached;
+    if (result.outcome != wire::OUTCOME_NOT_RUN)
+      request.may_have_run = true;
+    if (!MayRepeat(request, result))
+      co_return result;
+    support::LogDebug("request.repeated", {{"request", call.request_id},
+                                           {"after", choice->node_id},
+                                           {"reason", result.reason}});
+  }
+}
+
+Task<CallResult> Entry::Attempt(Request& request,
+                                const routing::Choice& choice) {
+  RelayCall& call = request.call;
+  CallResult result;
+  if (choice.node_id == own_id_) {
+    result = co_await parts_.door.Run(call);
+  } else {
+    const auto address = support::ParseAddress(choice.address);
+    if (address)
+      result = co_await parts_.peers.Send(call, *address);
+    else
+      result = CallResult::NotRun("member without an address");
+  }
+  auto end = routing::AttemptEnd::kAbandoned;
+  if (call.cancellation.requested()) {
+    end = routing::AttemptEnd::kAbandoned;
+  } else if (result.outcome == wire::OUTCOME_OK) {
+    const unsigned status = result.head.result_int();
+    if (status < 500)
+      end = routing::AttemptEnd::kServed;
+    else if (status != 504)
+      end = routing::AttemptEnd::kFailed;
+  } else if (result.peer_silent) {
+    end = routing::AttemptEnd::kSilent;
+  } else if (result.outcome == wire::OUTCOME_NOT_RUN) {
+    end = result.reached_target ? routing::AttemptEnd::kFailed
+                                : routing::AttemptEnd::kRejected;
+  } else {
+    end = routing::AttemptEnd::kFailed;
+  }
+  parts_.fleet.RouteTo(call.service)
+      .router.End(choice, end, result.load ? &*result.load : nullptr);
+  co_return result;
+}
+
+bool Entry::MayRepeat(const Request& request, const CallResult& result) {
+  const RelayCall& call = request.call;
+  // A long body is gone once it has been passed on.
+  if (call.cancellation.requested() || !call.body.whole() ||
+      request.tried.size() >= kMaxPlacements)
+    return false;
+  const support::TimePoint now = parts_.clock.Now();
+  if (result.outcome == wire::OUTCOME_NOT_RUN && !result.reached_target)
+    return now < call.queue_until;
+  if (now + (call.deadline - request.began) / kRepeatNeedsShare >=
+          call.deadline ||
+      request.reached >= request.route->attempts())
+    return false;
+  const bool failed = result.outcome == wire::OUTCOME_OK &&
+                      result.head.result_int() >= 500 &&
+                      result.head.result_int() != 504;
+  const bool safe = call.idempotent || result.outcome == wire::OUTCOME_NOT_RUN;
+  if (!safe || (result.outcome == wire::OUTCOME_OK && !failed))
+    return false;
+  return parts_.fleet.RouteTo(call.service).retries.Take();
+}
+
+Task<void> Entry::Answer(stream::ServerExchange& exchange,
+                         Request& request,
+                         CallResult result) {
+  if (request.call.cancellation.requested()) {
+    if (result.on_end)
+      result.on_end(false);
+    exchange.Abort();
+    Record(request, 0, "the caller has left");
+    co_return;
+  }
+  if (result.outcome == wire::OUTCOME_OK) {
+    const unsigned status = result.head.result_int();
+    const bool whole = co_await DeliverAnswer(exchange, result);
+    Record(request, whole ? status : 0,
+           whole ? "" : "the answer could not be delivered whole");
+    co_return;
+  }
+  co_await Refuse(exchange, request, RefusalFor(request, result));
+}
+
+Entry::Refusal Entry::RefusalFor(const Request& request,
+                                 const CallResult& result) const {
+  const support::TimePoint now = parts_.clock.Now();
+  const milliseconds left = TimeLeft(request.call.deadline, now);
+  if (!request.may_have_run) {
+    const milliseconds longest =
+        std::clamp(left / kRetryAfterShare, kMinRetryAfter, kMaxRetryAfter);
+    const auto spread =
+        static_cast<std::uint32_t>((longest - kMinRetryAfter).count() + 1);
+    return {503, result.reason,
+            kMinRetryAfter + milliseconds(support::RandomBelow(spread))};
+  }
+  return {left.count() == 0 ? 504U : 502U, result.reason};
+}
+
+Task<void> Entry::Refuse(stream::ServerExchange& exchange,
+                         const Request& request,
+                         const Refusal& refusal) {
+  http::header<false> head = HeadWith(refusal.status);
+  head.set(parts_.names.request_id, request.call.request_id);
+  if (refusal.status == 503 || refusal.status == 429)
+    head.set(http::field::retry_after,
+             ToSeconds(std::max(refusal.retry_after, kMinRetryAfter)));
+  Record(request, refusal.status, refusal.reason);
+  co_await exchange.RespondText(std::move(head), refusal.reason + "\n");
+}
+
+void Entry::Record(const Request& request,
+                   unsigned status,
+                   const std::string& reason) {
+  const std::string code = std::to_string(status);
+  parts_.metrics.Count("yuccastair_requests_total",
+                       {{"route", request.call.route}, {"status", code}});
+  parts_.metrics.Observe("yuccastair_request_seconds",
+                         {{"route", request.call.route}},
+                         parts_.clock.Now() - request.began);
+  if (reason.empty())
+    return;
+  support::LogInfo(
+      "request.ended",
+      {{"request", request.call.request_id},
+       {"status", status},
+       {"reason", reason},
+       {"route", request.call.route},
+       {"service", request.call.service},
+       {"organisation", request.call.organisation},
+       {"importance", wire::Importance_Name(request.call.importance)},
+       {"tried", request.tried},
+       {"reached", request.reached},
+       {"policy", request.policy ? request.policy->version() : 0},
+       {"ms", std::chrono::duration_cast<milliseconds>(parts_.clock.Now() -
+                                                       request.began)
+                  .count()}});
+}
+
+}  // namespace yuccastair::relay
--- /dev/null
+++ b/lib/relay/entry.h
@@ -0,0 +1,93 @@
+// Takes the requests of callers on this instance and of the own target.
+
+#ifndef YUCCASTAIR_LIB_RELAY_ENTRY_H_
+#define YUCCASTAIR_LIB_RELAY_ENTRY_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "call.h"
+#include "fleet.h"
+#include "peer_client.h"
+#include "rate_guard.h"
+#include "target_door.h"
+#include "yuccastair/observe/metrics.h"
+#include "yuccastair/relay/adapter.h"
+#include "yuccastair/stream/server.h"
+#include "yuccastair/support/clock.h"
+
+namespace yuccastair::relay {
+
+/// Authorises a request, chooses a target for each attempt and answers the
+/// caller. Used on the thread of its io_context.
+class Entry {
+ public:
+  struct Parts {
+    const support::Clock& clock;
+    const HeaderNames& names;
+    Fleet& fleet;
+    TargetDoor& door;
+    PeerClient& peers;
+    RateGuard& rates;
+    observe::Metrics& metrics;
+  };
+
+  /// \p own_id is the node id under which this relay is a member, \p service
+  /// that of its target.
+  Entry(Parts parts, std::string own_id, std::string service);
+
+  stream::Task<void> Handle(stream::ServerExchange& exchange);
+
+  void SetService(std::string service) { service_ = std::move(service); }
+
+ private:
+  /// What is known of a request before it is sent.
+  struct Request {
+    std::shared_ptr<const policy::PolicyIndex> policy;
+    const wire::PolicyRoute* route = nullptr;
+    support::TimePoint began;
+    RelayCall call;
+    // Targets that have been chosen, and how many of them were reached.
+    std::vector<std::string> tried;
+    std::uint32_t reached = 0;
+    // Whether a target may have run the request, so that no refusal may say
+    // that it has not.
+    bool may_have_run = false;
+  };
+  struct Refusal {
+    unsigned status = 0;
+    std::string reason;
+    std::chrono::milliseconds retry_after{0};
+  };
+
+  bool Prepare(const stream::http::header<true>& head,
+               Request& request,
+               Refusal& refusal);
+  bool Authorise(const std::string& credentials,
+                 Request& request,
+                 Refusal& refusal) const;
+  void SetDeadlines(const std::string& announced, Request& request) const;
+  stream::Task<CallResult> Send(Request& request);
+  stream::Task<CallResult> Attempt(Request& request,
+                                   const routing::Choice& choice);
+  bool MayRepeat(const Request& request, const CallResult& result);
+  stream::Task<void> Answer(stream::ServerExchange& exchange,
+                            Request& request,
+                            CallResult result);
+  stream::Task<void> Refuse(stream::ServerExchange& exchange,
+                            const Request& request,
+                            const Refusal& refusal);
+  Refusal RefusalFor(const Request& request, const CallResult& result) const;
+  void Record(const Request& request,
+              unsigned status,
+              const std::string& reason);
+
+  const Parts parts_;
+  const std::string own_id_;
+  std::string service_;
+};
+
+}  // namespace yuccastair::relay
+
+#endif  // YUCCASTAIR_LIB_RELAY_ENTRY_H_
--- /dev/null
+++ b/lib/relay/peer_client.cc
@@ -0,0 +1,83 @@
+// Exchanges with other relays.
+
+#include "peer_client.h"
+
+#include <chrono>
+#include <utility>
+
+#include "peer_protocol.h"
+#include "send.h"
+
+namespace yuccastair::relay {
+namespace {
+
+namespace http = stream::http;
+using std::chrono::milliseconds;
+
+// A relay that is up accepts within a few ms, so a longer wait means that it is
+// gone, and another one can still be asked in time.
+constexpr milliseconds kConnectTimeout{300};
+constexpr milliseconds kMaxIdle{12000};
+constexpr std::size_t kMaxIdleConnections = 64;
+// The other relay answers at the deadline; its answer is on its way this long.
+constexpr milliseconds kAnswerSlack{40};
+
+}  // namespace
+
+PeerClient::PeerClient(stream::asio::io_context& context,
+                       const support::Clock& clock)
+    : context_(context),
+      clock_(clock),
+      pool_(context,
+            {.connect_timeout = kConnectTimeout,
+             .max_idle = kMaxIdle,
+             .max_idle_per_address = kMaxIdleConnections}) {}
+
+stream::Task<CallResult> PeerClient::Send(RelayCall& call,
+                                          support::Address address) {
+  const support::TimePoint until = call.deadline + kAnswerSlack;
+  auto acquired = co_await pool_.Acquire(address, until);
+  if (!acquired.connection) {
+    CallResult result = CallResult::NotRun("cannot connect to the relay at " +
+                                           address.ToString() + ": " +
+                                           acquired.error.message());
+    result.peer_silent = true;
+    co_return result;
+  }
+  const auto connection = acquired.connection;
+  if (call.cancellation.requested()) {
+    connection->Close();
+    co_return CallResult::NotRun("the caller has left");
+  }
+  call.cancellation.SetHook([connection] { connection->Close(); });
+  http::header<true> head = EncodeCall(call, clock_.Now());
+  std::function<bool(const http::header<false>&)> accept =
+      [](const http::header<false>&) { return true; };
+  const stream::ErrorCode error = co_await SendRequest(
+      context_, connection, std::move(head), call, std::move(accept));
+  call.cancellation.ClearHook();
+  CallResult result;
+  if (error || !DecodeResult(connection->reader().head().base(), result)) {
+    connection->Close();
+    result = CallResult::Unknown("no answer from the relay at " +
+                                 address.ToString() + ": " + error.message());
+    result.peer_silent = !call.cancellation.requested();
+    co_return result;
+  }
+  const stream::ErrorCode body_error =
+      co_await ReceiveBody(pool_, connection, kMaxIdle, result);
+  if (body_error && result.outcome == wire::OUTCOME_OK)
+    co_return CallResult::Unknown("the answer from the relay at " +
+                                  address.ToString() +
+                                  " broke off: " + body_error.message());
+  if (!result.body.whole()) {
+    result.on_end = [connection](bool whole) {
+      if (!whole)
+        connection->Close();
+    };
+    call.cancellation.SetHook([connection] { connection->Close(); });
+  }
+  co_return result;
+}
+
+}  // namespace yuccastair::relay
--- /dev/null
+++ b/lib/relay/relay.cc
@@ -0,0 +1,382 @@
+// Assembles the relay.
+
+#include "yuccastair/relay/relay.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <chrono>
+#include <csignal>
+#include <string>
+#include <utility>
+
+#include "control_link.h"
+#include "entry.h"
+#include "fleet.h"
+#include "peer_client.h"
+#include "peer_protocol.h"
+#include "rate_guard.h"
+#include "send.h"
+#include "target_door.h"
+#include "yuccastair/observe/metrics.h"
+#include "yuccastair/stream/server.h"
+#include "yuccastair/support/id.h"
+#include "yuccastair/support/log.h"
+
+namespace yuccastair::relay {
+namespace {
+
+namespace asio = stream::asio;
+namespace http = stream::http;
+using std::chrono::milliseconds;
+using stream::Task;
+
+// Period of the decisions on waiting calls and of messages that are due.
+constexpr milliseconds kTick{10};
+// Period of work that is not urgent.
+constexpr milliseconds kSlowTick{1000};
+// Callers and other relays notice within this time that a relay leaves: two
+// readiness checks a second apart, and a sync.
+constexpr milliseconds kNoticeTime{2500};
+// Kept between the end of the drain and the time at which the process must be
+// gone.
+constexpr milliseconds kExitMargin{700};
+
+std::uint64_t WallClockMs() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<milliseconds>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+}
+
+std::vector<std::string> ToStrings(
+    const std::vector<support::Address>& addresses) {
+  std::vector<std::string> texts;
+  for (const support::Address& address : addresses)
+    texts.push_back(address.ToString());
+  return texts;
+}
+
+http::header<false> HeadWith(unsigned status) {
+  http::header<false> head;
+  head.result(status);
+  return head;
+}
+
+}  // namespace
+
+class Relay::Impl {
+ public:
+  Impl(Settings settings, Adapter adapter, Reload reload)
+      : settings_(std::move(settings)),
+        adapter_(std::move(adapter)),
+        reload_(std::move(reload)),
+        incarnation_(support::RandomId()),
+        started_ms_(WallClockMs()),
+        fleet_(clock_, settings_.availability_zone),
+        door_(context_,
+              clock_,
+              adapter_.headers,
+              settings_.drain_time,
+              metrics_),
+        peers_(context_, clock_),
+        rates_(context_,
+               clock_,
+               settings_.id,
+               incarnation_,
+               [this](const wire::RateRequest& request) {
+                 link_.SendRateRequest(request);
+               }),
+        link_(context_, clock_, LinkOptions()),
+        entry_(
+            {clock_, adapter_.headers, fleet_, door_, peers_, rates_, metrics_},
+            settings_.id,
+            settings_.service),
+        callers_(context_,
+                 settings_.caller_listen,
+                 [this](stream::ServerExchange& exchange) {
+                   return entry_.Handle(exchange);
+                 }),
+        peer_server_(context_,
+                     settings_.peer_listen,
+                     [this](stream::ServerExchange& exchange) {
+                       return HandlePeer(exchange);
+                     }),
+        target_server_(context_,
+                       settings_.target_listen,
+                       [this](stream::ServerExchange& exchange) {
+                         return HandleTarget(exchange);
+                       }),
+        ready_server_(context_,
+                      settings_.ready_listen,
+                      [this](stream::ServerExchange& exchange) {
+                        return HandleReady(exchange);
+                      }),
+        signals_(context_, SIGTERM, SIGINT, SIGHUP) {
+    door_.on_state_changed = [this] { link_.Wake(); };
+  }
+
+  void Run() {
+    asio::co_spawn(context_, Tick(), asio::detached);
+    asio::co_spawn(context_, SlowTick(), asio::detached);
+    asio::co_spawn(context_, AwaitSignals(), asio::detached);
+    support::LogInfo("relay.started",
+                     {{"service", settings_.service},
+                      {"caller_listen", settings_.caller_listen.ToString()},
+                      {"peer_listen", settings_.peer_listen.ToString()},
+                      {"seeds", ToStrings(settings_.seeds)}});
+    context_.run();
+    support::LogInfo("relay.stopped", {{"active", Active()}});
+  }
+
+ private:
+  ControlLink::Options LinkOptions() {
+    ControlLink::Options options;
+    options.seeds = ToStrings(settings_.seeds);
+    options.node_id = settings_.id;
+    options.fill = [this](wire::SyncRequest& request) { FillRequest(request); };
+    options.apply = [this](const wire::SyncReply& reply) { Apply(reply); };
+    options.apply_grant = [this](const wire::RateGrant& grant) {
+      rates_.Apply(grant);
+    };
+    return options;
+  }
+
+  void FillRequest(wire::SyncRequest& request) {
+    wire::Member* self = request.mutable_self();
+    self->set_node_id(settings_.id);
+    self->set_incarnation(incarnation_);
+    self->set_availability_zone(settings_.availability_zone);
+    self->set_address(settings_.peer_listen.ToString());
+    const Announcement* announced = door_.record().announced();
+    self->set_service(announced != nullptr ? announced->service
+                                           : settings_.service);
+    const wire::LoadReport load = door_.Load();
+    self->set_state(stopping_ ? wire::TARGET_STATE_LEAVING : load.state());
+    self->set_limit(load.limit());
+    self->set_started_ms(started_ms_);
+    self->set_sequence(++sequence_);
+    fleet_.FillRequest(request);
+  }
+
+  void Apply(const wire::SyncReply& reply) {
+    if (!fleet_.Apply(reply))
+      return;
+    door_.SetZoneOut(fleet_.IsZoneOut(settings_.availability_zone));
+    const auto policy = fleet_.policy();
+    if (!policy)
+      return;
+    const Announcement* announced = door_.record().announced();
+    door_.SetService(policy->FindService(
+        announced != nullptr ? announced->service : settings_.service));
+    const wire::PolicyLimits& limits = policy->policy().limits();
+    stream::ServerLimits server;
+    if (limits.max_header_bytes() > 0)
+      server.max_header_bytes = limits.max_header_bytes();
+    if (limits.max_body_bytes() > 0)
+      server.max_body_bytes = limits.max_body_bytes();
+    if (limits.header_timeout_ms() > 0)
+      server.header_timeout = milliseconds(limits.header_timeout_ms());
+    if (limits.idle_timeout_ms() > 0)
+      server.idle_timeout = milliseconds(limits.idle_timeout_ms());
+    callers_.SetLimits(server);
+  }
+
+  /// A call of another relay for the own target.
+  Task<void> HandlePeer(stream::ServerExchange& exchange) {
+    RelayCall call;
+    CallResult result;
+    const bool decoded = DecodeCall(exchange.head(), clock_.Now(), call);
+    const stream::ErrorCode error = co_await exchange.ReadBody(call.body);
+    if (error) {
+      exchange.Abort();
+      co_return;
+    }
+    if (!decoded) {
+      support::LogWarning("peer.call_malformed",
+                          {{"target", std::string(exchange.head().target())}});
+      co_await exchange.RespondText(HeadWith(400), "not the call of a relay\n");
+      co_return;
+    }
+    if (call.body.whole()) {
+      exchange.Watch([&call] { call.cancellation.Request(); });
+    } else {
+      call.body.more = [&call, more = std::move(call.body.more)](
+                           std::string& out,
+                           bool& done) -> Task<stream::ErrorCode> {
+        const stream::ErrorCode read_error = co_await more(out, done);
+        if (read_error)
+          call.cancellation.Request();
+        co_return read_error;
+      };
+    }
+    const Announcement* announced = door_.record().announced();
+    if (announced != nullptr && announced->service != call.service)
+      result = CallResult::NotRun("the target is of another service");
+    else
+      result = co_await door_.Run(call);
+    if (call.cancellation.requested()) {
+      if (result.on_end)
+        result.on_end(false);
+      exchange.Abort();
+      co_return;
+    }
+    result.head = EncodeResult(result);
+    if (result.outcome != wire::OUTCOME_OK) {
+      result.body = {};
+      result.body.length = 0;
+    }
+    co_await DeliverAnswer(exchange, result);
+  }
+
+  Task<void> HandleTarget(stream::ServerExchange& exchange) {
+    stream::BodySource body;
+    const stream::ErrorCode error = co_await exchange.ReadBody(body);
+    if (error || !body.whole()) {
+      exchange.Abort();
+      co_return;
+    }
+    const auto& head = exchange.head();
+    const auto method = http::to_string(head.method());
+    const auto call = adapter_.decode_target_call(
+        {method.data(), method.size()},
+        {head.target().data(), head.target().size()}, body.begin);
+    if (!call) {
+      co_await exchange.RespondText(HeadWith(404), "no such call\n");
+      co_return;
+    }
+    if (call->announcement)
+      TakeAnnouncement(*call->announcement);
+    http::header<false> answer = HeadWith(200);
+    if (!call->content_type.empty())
+      answer.set(http::field::content_type, call->content_type);
+    co_await exchange.RespondText(std::move(answer), call->answer);
+  }
+
+  void TakeAnnouncement(const Announcement& announcement) {
+    // Only the process beside this one is its target.
+    if (announcement.state != AnnouncedState::kGone &&
+        announcement.address != settings_.target) {
+      support::LogWarning("target.address_foreign",
+                          {{"address", announcement.address.ToString()},
+                           {"target", announcement.target_id}});
+      return;
+    }
+    door_.Announce(announcement);
+    if (const auto policy = fleet_.policy();
+        policy && door_.record().announced())
+      door_.SetService(
+          policy->FindService(door_.record().announced()->service));
+  }
+
+  Task<void> HandleReady(stream::ServerExchange& exchange) {
+    const bool ready = fleet_.policy() != nullptr && !stopping_;
+    if (exchange.head().target() != adapter_.ready_path) {
+      co_await exchange.RespondText(HeadWith(404), "no such path\n");
+      co_return;
+    }
+    co_await exchange.RespondText(HeadWith(ready ? 200 : 503),
+                                  ready ? "ready\n" : "not ready\n");
+  }
+
+  std::size_t Active() const {
+    return callers_.active() + peer_server_.active();
+  }
+
+  Task<void> Tick() {
+    asio::steady_timer timer(context_);
+    while (true) {
+      timer.expires_after(kTick);
+      co_await timer.async_wait(stream::kAsTuple);
+      door_.Tick();
+      rates_.Tick();
+    }
+  }
+
+  Task<void> SlowTick() {
+    asio::steady_timer timer(context_);
+    while (true) {
+      timer.expires_after(kSlowTick);
+      co_await timer.async_wait(stream::kAsTuple);
+      peers_.CloseIdle();
+      door_.CloseIdle();
+    }
+  }
+
+  Task<void> AwaitSignals() {
+    while (true) {
+      auto [error, signal] = co_await signals_.async_wait(stream::kAsTuple);
+      if (error)
+        co_return;
+      if (signal == SIGHUP) {
+        ReloadSettings();
+        continue;
+      }
+      if (!std::exchange(stopping_, true))
+        asio::co_spawn(context_, Drain(), asio::detached);
+    }
+  }
+
+  void ReloadSettings() {
+    const auto settings = reload_();
+    support::LogInfo("settings.reloaded", {{"valid", settings.has_value()}});
+    if (!settings)
+      return;
+    settings_.seeds = settings->seeds;
+    settings_.service = settings->service;
+    settings_.target = settings->target;
+    link_.SetSeeds(ToStrings(settings_.seeds));
+    entry_.SetService(settings_.service);
+  }
+
+  Task<void> Drain() {
+    support::LogInfo("relay.draining", {{"active", Active()}});
+    const support::TimePoint began = clock_.Now();
+    const support::TimePoint until =
+        began +
+        std::max(milliseconds(0), settings_.shutdown_timeout - kExitMargin);
+    link_.Wake();
+    callers_.StartDraining();
+    peer_server_.StartDraining();
+    asio::steady_timer timer(context_);
+    while (clock_.Now() < until &&
+           (clock_.Now() < began + kNoticeTime || Active() > 0)) {
+      timer.expires_after(kTick);
+      co_await timer.async_wait(stream::kAsTuple);
+    }
+    context_.stop();
+  }
+
+  Settings settings_;
+  const Adapter adapter_;
+  const Reload reload_;
+  const std::string incarnation_;
+  const std::uint64_t started_ms_;
+  std::uint64_t sequence_ = 0;
+  bool stopping_ = false;
+  const support::SteadyClock clock_{};
+  asio::io_context context_{1};
+  observe::Metrics metrics_;
+  Fleet fleet_;
+  TargetDoor door_;
+  PeerClient peers_;
+  RateGuard rates_;
+  ControlLink link_;
+  Entry entry_;
+  stream::Server callers_;
+  stream::Server peer_server_;
+  stream::Server target_server_;
+  stream::Server ready_server_;
+  asio::signal_set signals_;
+};
+
+Relay::Relay(Settings settings, Adapter adapter, Reload reload)
+    : impl_(std::make_unique<Impl>(std::move(settings),
+                                   std::move(adapter),
+                                   std::move(reload))) {}
+
+Relay::~Relay() = default;
+
+void Relay::Run() {
+  impl_->Run();
+}
+
+}  // namespace yuccastair::relay
--- /dev/null
+++ b/lib/relay/send.cc
@@ -0,0 +1,141 @@
+// Exchanges with targets and other relays.
+
+#include "send.h"
+
+#include <string>
+#include <utility>
+
+namespace yuccastair::relay {
+namespace {
+
+namespace asio = stream::asio;
+namespace http = stream::http;
+using stream::ErrorCode;
+using stream::Task;
+
+// Answers that belong to other requests and are read over before the
+// connection is given up.
+constexpr int kMaxForeignAnswers = 2;
+constexpr std::size_t kMaxForeignBytes = std::size_t{1} << 20;
+
+/// A long body that is sent while the answer may already come.
+struct Upload {
+  explicit Upload(asio::io_context& context)
+      : finished(context, support::TimePoint::max()) {}
+
+  ErrorCode error;
+  bool done = false;
+  // Cancelled at the end.
+  asio::steady_timer finished;
+};
+
+Task<void> RunUpload(std::shared_ptr<Upload> upload,
+                     std::shared_ptr<stream::ClientConnection> connection,
+                     http::header<true> head,
+                     stream::BodySource& body) {
+  upload->error = co_await connection->Write(std::move(head), body);
+  upload->done = true;
+  upload->finished.cancel();
+}
+
+Task<ErrorCode> ReadAnswerHead(
+    stream::ClientConnection& connection,
+    bool headless,
+    const std::function<bool(const http::header<false>&)>& accept) {
+  auto& reader = connection.reader();
+  for (int foreign = 0; foreign <= kMaxForeignAnswers; ++foreign) {
+    ErrorCode error = co_await reader.ReadHead(kMaxAnswerHeaderBytes, headless);
+    if (error)
+      co_return error;
+    // An interim answer only tells that the body is expected.
+    const unsigned status = reader.head().result_int();
+    if (status >= 100 && status < 200)
+      continue;
+    if (accept(reader.head().base()))
+      co_return ErrorCode();
+    std::string ignored;
+    error = co_await reader.ReadUpTo(ignored, kMaxForeignBytes);
+    if (error)
+      co_return error;
+    if (!reader.is_done() || !reader.keep_alive())
+      break;
+  }
+  co_return http::error::bad_status;
+}
+
+}  // namespace
+
+Task<ErrorCode> SendRequest(
+    asio::io_context& context,
+    std::shared_ptr<stream::ClientConnection> connection,
+    http::header<true> head,
+    RelayCall& call,
+    std::function<bool(const http::header<false>&)> accept) {
+  const bool headless = call.is_head();
+  if (call.body.whole()) {
+    // A target that answers early may have closed its side, so a failed write
+    // does not mean that there is no answer.
+    co_await connection->Write(std::move(head), call.body);
+    co_return co_await ReadAnswerHead(*connection, headless, accept);
+  }
+  auto upload = std::make_shared<Upload>(context);
+  asio::co_spawn(context,
+                 RunUpload(upload, connection, std::move(head), call.body),
+                 asio::detached);
+  const ErrorCode error =
+      co_await ReadAnswerHead(*connection, headless, accept);
+  if (!upload->done) {
+    // The rest of the body is of no use, and the upload reads from the caller,
+    // so it has to end before the caller's connection is used otherwise.
+    if (error)
+      connection->Close();
+    co_await upload->finished.async_wait(stream::kAsTuple);
+  }
+  co_return error;
+}
+
+Task<ErrorCode> ReceiveBody(
+    stream::ConnectionPool& pool,
+    std::shared_ptr<stream::ClientConnection> connection,
+    std::chrono::milliseconds max_idle,
+    CallResult& result) {
+  auto& reader = connection->reader();
+  result.body.length = reader.content_length();
+  const ErrorCode error =
+      co_await reader.ReadUpTo(result.body.begin, stream::kHeldBodyBytes);
+  if (error) {
+    connection->Close();
+    co_return error;
+  }
+  if (reader.is_done()) {
+    // Keeps the announced length of an answer to HEAD, which has no body.
+    if (!result.body.length)
+      result.body.length = result.body.begin.size();
+    pool.Release(std::move(connection), max_idle);
+    co_return ErrorCode();
+  }
+  result.body.more = [&pool, connection, max_idle](
+                         std::string& out, bool& done) -> Task<ErrorCode> {
+    const ErrorCode read_error =
+        co_await connection->reader().ReadSome(out, stream::kPieceBytes);
+    if (read_error) {
+      connection->Close();
+      co_return read_error;
+    }
+    done = connection->reader().is_done();
+    if (done)
+      pool.Release(connection, max_idle);
+    co_return ErrorCode();
+  };
+  co_return ErrorCode();
+}
+
+Task<bool> DeliverAnswer(stream::ServerExchange& exchange, CallResult& result) {
+  const ErrorCode error =
+      co_await exchange.Respond(std::move(result.head), result.body);
+  if (result.on_end)
+    std::exchange(result.on_end, nullptr)(!error);
+  co_return !error;
+}
+
+}  // namespace yuccastair::relay
--- /dev/null
+++ b/lib/stream/client.cc
@@ -0,0 +1,109 @@
+// Connections to servers.
+
+#include "yuccastair/stream/client.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <utility>
+
+namespace yuccastair::stream {
+namespace {
+
+/// Returns whether an idle connection can carry a request: the server has
+/// neither closed it nor sent anything that nobody asked for.
+bool IsQuiet(asio::ip::tcp::socket& socket) {
+  char byte = 0;
+  const auto got =
+      recv(socket.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
+  return got < 0 && errno == EAGAIN;
+}
+
+}  // namespace
+
+void ClientConnection::Close() {
+  ErrorCode ignored;  // Closing cannot be retried.
+  stream_.socket().close(ignored);
+}
+
+std::shared_ptr<ClientConnection> ConnectionPool::TakeKept(
+    const std::string& key) {
+  const auto found = idle_.find(key);
+  if (found == idle_.end())
+    return nullptr;
+  auto& connections = found->second;
+  const auto now = support::SteadyClock().Now();
+  while (!connections.empty()) {
+    auto connection = std::move(connections.back());
+    connections.pop_back();
+    if (now < connection->idle_until_ && IsQuiet(connection->stream_.socket()))
+      return connection;
+  }
+  return nullptr;
+}
+
+Task<ConnectionPool::Acquired> ConnectionPool::Acquire(
+    support::Address address,
+    support::TimePoint deadline) {
+  if (auto kept = TakeKept(address.ToString())) {
+    kept->SetDeadline(deadline);
+    co_return Acquired{std::move(kept), {}, true};
+  }
+  auto connection = std::make_shared<ClientConnection>(context_);
+  connection->address_ = address;
+  connection->SetDeadline(std::min(
+      deadline, support::SteadyClock().Now() + options_.connect_timeout));
+  auto [error] =
+      co_await connection->stream_.async_connect(ToEndpoint(address), kAsTuple);
+  if (error)
+    co_return Acquired{nullptr, error, false};
+  ErrorCode ignored;  // The connection works without the option, only slower.
+  connection->stream_.socket().set_option(asio::ip::tcp::no_delay(true),
+                                          ignored);
+  connection->SetDeadline(deadline);
+  co_return Acquired{std::move(connection), {}, false};
+}
+
+void ConnectionPool::Release(std::shared_ptr<ClientConnection> connection,
+                             std::chrono::milliseconds max_idle) {
+  auto& reader = connection->reader_;
+  auto& connections = idle_[connection->address_.ToString()];
+  if (!reader.is_done() || !reader.keep_alive() || reader.need_eof() ||
+      !connection->IsClean() || !connection->stream_.socket().is_open() ||
+      connections.size() >= options_.max_idle_per_address) {
+    connection->Close();
+    return;
+  }
+  connection->stream_.expires_never();
+  connection->idle_until_ =
+      support::SteadyClock().Now() + std::min(max_idle, options_.max_idle);
+  connections.push_back(std::move(connection));
+}
+
+ConnectionPool::KeptState ConnectionPool::StateOf(
+    const support::Address& address) {
+  KeptState state;
+  const auto found = idle_.find(address.ToString());
+  if (found == idle_.end())
+    return state;
+  for (const auto& connection : found->second)
+    ++(IsQuiet(connection->stream_.socket()) ? state.open : state.closed);
+  return state;
+}
+
+void ConnectionPool::Drop(const support::Address& address) {
+  idle_.erase(address.ToString());
+}
+
+void ConnectionPool::CloseIdle() {
+  const auto now = support::SteadyClock().Now();
+  for (auto it = idle_.begin(); it != idle_.end();) {
+    std::erase_if(it->second, [&](const auto& connection) {
+      return now >= connection->idle_until_;
+    });
+    it = it->second.empty() ? idle_.erase(it) : std::next(it);
+  }
+}
+
+}  // namespace yuccastair::stream
--- a/lib/support/address.cc
+++ b/lib/support/address.cc
@@ -27,4 +27,11 @@
   return address;
 }
 
+void SetPorts(std::vector<Address>& addresses, std::int64_t port) {
+  if (port == 0)
+    return;
+  for (Address& address : addresses)
+    address.port = static_cast<std::uint16_t>(port);
+}
+
 }  // namespace yuccastair::support
--- a/tools/yuccastair/main.cc
+++ b/tools/yuccastair/main.cc
@@ -5,12 +5,16 @@
 #include <cstdlib>
 #include <cxxopts.hpp>
 #include <iostream>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "platform/operator_front.h"
+#include "platform/target_calls.h"
 #include "yuccastair/control/control.h"
 #include "yuccastair/ctl/ctl.h"
 #include "yuccastair/node/node.h"
+#include "yuccastair/relay/relay.h"
 #include "yuccastair/state/tree_file.h"
 #include "yuccastair/support/error.h"
 #include "yuccastair/support/id.h"
@@ -24,11 +28,14 @@
 constexpr int kExitSuccess = 0;
 constexpr int kExitFailure = 1;
 constexpr int kExitUsage = 2;
+// Holds the path of the settings file where no option names it.
+constexpr const char* kConfigVariable = "YUCCASTAIR_CONFIG";
 
 constexpr const char* kUsage = R"(usage: yuccastair COMMAND [OPTION...]
 
 commands:
   node     run the process beside a target
+  relay    run the event-driven process beside a target of the platform
   control  run a control process, which holds the durable state
   ctl      operate the fleet through a control process
   check    check a settings file
@@ -76,6 +83,24 @@
   return kExitSuccess;
 }
 
+int RunRelay(const std::string& path) {
+  const auto read = [path]() -> std::optional<relay::Settings> {
+    support::SettingsFile file(path);
+    relay::Settings settings = relay::ReadSettings(file);
+    if (!ReportFaults(file))
+      return std::nullopt;
+    return settings;
+  };
+  auto settings = read();
+  if (!settings)
+    return kExitUsage;
+  support::InitLog(support::LogLevel::kInfo, "relay", settings->id);
+  signal(SIGPIPE, SIG_IGN);
+  relay::Relay relay(std::move(*settings), platform::MakeAdapter(), read);
+  relay.Run();
+  return kExitSuccess;
+}
+
 int RunControl(const std::string& path) {
   support::SettingsFile file(path);
   control::Settings settings = control::ReadSettings(file);
@@ -83,7 +108,16 @@
     return kExitUsage;
   support::InitLog(support::LogLevel::kInfo, "control", settings.id);
   const sigset_t signals = BlockStopSignals();
-  const control::Control control(std::move(settings));
+  const auto policy_listen = settings.policy_listen;
+  control::Control control(std::move(settings));
+  std::optional<platform::OperatorFront> front;
+  if (policy_listen) {
+    front.emplace(*policy_listen,
+                  [&control](wire::PolicyRequest request,
+                             platform::OperatorFront::Done done) {
+                    control.OperatePolicy(std::move(request), std::move(done));
+                  });
+  }
   WaitForStop(signals);
   return kExitSuccess;
 }
@@ -108,6 +142,8 @@
   support::SettingsFile file(path);
   if (role == "node")
     node::ReadSettings(file);
+  else if (role == "relay")
+    relay::ReadSettings(file);
   else
     control::ReadSettings(file);
   return ReportFaults(file) ? kExitSuccess : kExitUsage;
@@ -119,26 +155,33 @@
   add("config", "settings file in TOML", cxxopts::value<std::string>());
   add("help", "show this text");
   if (command == "check")
-    add("role", "node, control or tree", cxxopts::value<std::string>());
+    add("role", "node, relay, control or tree", cxxopts::value<std::string>());
   const cxxopts::ParseResult parsed = options.parse(argc, argv);
   if (parsed.count("help") > 0) {
     std::cout << options.help();
     return kExitSuccess;
   }
-  if (parsed.count("config") == 0) {
-    std::cerr << "yuccastair " << command << ": --config FILE is required\n";
+  const char* environment = std::getenv(kConfigVariable);
+  if (parsed.count("config") == 0 && environment == nullptr) {
+    std::cerr << "yuccastair " << command << ": --config FILE or the variable "
+              << kConfigVariable << " is required\n";
     return kExitUsage;
   }
-  const std::string path = parsed["config"].as<std::string>();
+  const std::string path = parsed.count("config") > 0
+                               ? parsed["config"].as<std::string>()
+                               : std::string(environment);
   if (command == "node")
     return RunNode(path);
+  if (command == "relay")
+    return RunRelay(path);
   if (command == "control")
     return RunControl(path);
   const std::string role =
       parsed.count("role") > 0 ? parsed["role"].as<std::string>() : "";
-  if (role != "node" && role != "control" && role != "tree") {
-    std::cerr << "yuccastair check: --role node, --role control or --role tree "
-                 "is required\n";
+  if (role != "node" && role != "relay" && role != "control" &&
+      role != "tree") {
+    std::cerr << "yuccastair check: --role node, --role relay, --role control "
+                 "or --role tree is required\n";
     return kExitUsage;
   }
   return RunCheck(path, role);
@@ -165,7 +208,8 @@
     return PrintCurveKeys();
   if (command == "ctl")
     return RunCtl(argc, argv);
-  if (command == "node" || command == "control" || command == "check")
+  if (command == "node" || command == "relay" || command == "control" ||
+      command == "check")
     return RunWithConfig(command, argc - 1, argv + 1);
   std::cerr << (command.empty() ? "" : "unknown command " + command + "\n")
             << kUsage;
--- a/unittests/node/forwarder_test.cc
+++ b/unittests/node/forwarder_test.cc
@@ -169,7 +169,7 @@
                               caller_gone);
   }
 
-  FleetView fleet_;
+  membership::FleetView fleet_;
   wire::PendingCalls pending_;
   // Bound before the transport exists; not used before.
   Forwarder forwarder_;
