Keep control processes alive at SIGHUP and repeat fewer requests

A request that runs twice makes its calls twice, so the tenth that each relay allowed itself adds up along a chain of 4 services. SIGHUP was not blocked in a control process. A caller that left while its request waited for a token was not noticed by the next stage, since the hook was set after the signal.

Ruled out: ending repeats of calls altogether (a target that fails part of its requests is then seen by every caller).

Change: 4% and one repeat at once for each relay and service; SIGHUP reads the seeds anew; a hook that is set late is called at once.

--- a/include/yuccastair/consensus/core.h
+++ b/include/yuccastair/consensus/core.h
@@ -111,6 +111,8 @@
   std::string LeaderAddress() const override;
   support::TimePoint CurrentAsOf() const override;
   CoreStatus status() const;
+  /// Adds an address at which a process may be found, with open membership.
+  void AddAddress(const std::string& address);
   /// Addresses of the processes that are known, with and without a vote.
   std::vector<std::string> KnownAddresses() const;
 
--- a/include/yuccastair/control/control.h
+++ b/include/yuccastair/control/control.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 #include "policy.pb.h"
 #include "yuccastair/control/settings.h"
@@ -21,6 +22,10 @@
   Control(const Control&) = delete;
   Control& operator=(const Control&) = delete;
 
+  /// Takes other addresses at which control processes may be found. Safe for
+  /// use by several threads.
+  void SetSeeds(const std::vector<support::Address>& seeds);
+
   /// Performs an operation on the routing policy, here or at the leader, and
   /// calls \p done once, on a thread of this object. Safe for use by several
   /// threads.
--- a/lib/consensus/core.cc
+++ b/lib/consensus/core.cc
@@ -307,6 +307,10 @@
 support::TimePoint Core::CurrentAsOf() const {
   return impl_->CurrentAsOf();
 }
+void Core::AddAddress(const std::string& address) {
+  impl_->LearnAddress(address);
+}
+
 std::vector<std::string> Core::KnownAddresses() const {
   return impl_->KnownAddresses();
 }
--- a/lib/consensus/core_impl.h
+++ b/lib/consensus/core_impl.h
@@ -35,6 +35,7 @@
   support::TimePoint CurrentAsOf() const;
   CoreStatus Status() const;
   std::vector<std::string> KnownAddresses() const;
+  void LearnAddress(const std::string& address);
 
  private:
   using TimePoint = support::TimePoint;
@@ -149,7 +150,6 @@
   bool PromoteLearner();
   bool AdmitLearner();
   bool RemoveSurplusVoter();
-  void LearnAddress(const std::string& address);
   void SendHellos();
   void HandleHello(const wire::ConsensusMessage& message);
   void BootstrapIfPossible();
--- a/lib/control/control.cc
+++ b/lib/control/control.cc
@@ -104,6 +104,16 @@
     core_.join();
   }
 
+  void SetSeeds(const std::vector<support::Address>& seeds) {
+    std::function<void()> task = [this, seeds] {
+      for (const support::Address& seed : seeds)
+        log_.AddAddress(seed.ToString());
+    };
+    if (!events_.TryPush(std::move(task)))
+      support::LogWarning("control.seeds_ignored",
+                          {{"reason", "too many events wait"}});
+  }
+
   void OperatePolicy(wire::PolicyRequest request, PolicyService::Done done) {
     std::function<void()> task = [this, request = std::move(request), done] {
       policy_service_.Operate(request, done);
@@ -368,6 +378,10 @@
 
 Control::~Control() = default;
 
+void Control::SetSeeds(const std::vector<support::Address>& seeds) {
+  impl_->SetSeeds(seeds);
+}
+
 void Control::OperatePolicy(
     wire::PolicyRequest request,
     std::function<void(const wire::PolicyReply&)> done) {
--- a/lib/control/log_runner.cc
+++ b/lib/control/log_runner.cc
@@ -166,6 +166,10 @@
   reply.set_age_ms(AgeMs());
 }
 
+void LogRunner::AddAddress(const std::string& address) {
+  core_->AddAddress(address);
+}
+
 std::vector<std::string> LogRunner::ControlAddresses() const {
   std::vector<std::string> addresses;
   const consensus::CoreStatus status = core_->status();
--- a/lib/control/log_runner.h
+++ b/lib/control/log_runner.h
@@ -48,6 +48,8 @@
 
   /// Fills in the leader's address and the age of the confirmed state.
   void FillReply(wire::SyncReply& reply) const;
+  /// Adds an address at which a member of the log may be found.
+  void AddAddress(const std::string& address);
   /// Addresses of the processes that hold the log, or of those that are known
   /// while there is no cluster.
   std::vector<std::string> ControlAddresses() const;
--- a/lib/relay/call.h
+++ b/lib/relay/call.h
@@ -27,8 +27,14 @@
       std::exchange(hook_, nullptr)();
   }
 
-  /// Calls \p hook on a request; replaces an earlier hook.
-  void SetHook(std::function<void()> hook) { hook_ = std::move(hook); }
+  /// Calls \p hook on a request, at once if that has been made; replaces an
+  /// earlier hook.
+  void SetHook(std::function<void()> hook) {
+    if (requested_)
+      hook();
+    else
+      hook_ = std::move(hook);
+  }
   void ClearHook() { hook_ = nullptr; }
 
  private:
--- a/lib/relay/fleet.cc
+++ b/lib/relay/fleet.cc
@@ -10,12 +10,14 @@
 namespace yuccastair::relay {
 namespace {
 
-// The fleet may repeat a fifth of the requests of a service. Half of that is
-// left for repeats that arise otherwise: calls of a request that ran twice.
-constexpr double kRetryShare = 0.1;
+// The fleet may repeat a fifth of the requests of a service. A request that
+// runs twice makes its calls twice, so in a chain of 4 services the last one
+// sees the repeats of all of them.
+constexpr double kRetryShare = 0.04;
 // Repeats that one relay may make in one go. The allowance of a service beyond
-// its share is about 50, which some 15 relays have to share.
-constexpr double kRetryBurst = 2;
+// its share is about 50, which some 15 relays have to share, for each service
+// of a chain.
+constexpr double kRetryBurst = 1;
 
 routing::Options RouterOptions() {
   routing::Options options;
--- a/lib/relay/target_door.cc
+++ b/lib/relay/target_door.cc
@@ -190,7 +190,7 @@
   admission::Admission::Decisions decisions;
   admission_.Arrive(arrival, decisions);
   Carry(decisions);
-  if (!waiting->decision) {
+  if (!waiting->decision && !call.cancellation.requested()) {
     call.cancellation.SetHook([waiting] { waiting->decided.cancel(); });
     co_await waiting->decided.async_wait(stream::kAsTuple);
     call.cancellation.ClearHook();
--- a/tools/yuccastair/main.cc
+++ b/tools/yuccastair/main.cc
@@ -4,6 +4,7 @@
 
 #include <cstdlib>
 #include <cxxopts.hpp>
+#include <functional>
 #include <iostream>
 #include <optional>
 #include <string>
@@ -46,20 +47,27 @@
 3 rejected by the control processes
 )";
 
-/// Blocks SIGTERM and SIGINT in all threads started from here on.
+/// Blocks the signals that a process waits for in all threads started from here
+/// on.
 sigset_t BlockStopSignals() {
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   signal(SIGPIPE, SIG_IGN);
   return signals;
 }
 
-void WaitForStop(const sigset_t& signals) {
-  int received = 0;
-  sigwait(&signals, &received);
+/// Returns at SIGTERM or SIGINT. SIGHUP calls \p reload.
+void WaitForStop(const sigset_t& signals, const std::function<void()>& reload) {
+  int received = SIGHUP;
+  while (received == SIGHUP) {
+    sigwait(&signals, &received);
+    if (received == SIGHUP)
+      reload();
+  }
 }
 
 /// Prints the faults of a settings file; returns whether there are none.
@@ -78,38 +86,63 @@
   support::InitLog(support::LogLevel::kInfo, "node", settings.id);
   const sigset_t signals = BlockStopSignals();
   node::Node node(std::move(settings));
-  WaitForStop(signals);
+  WaitForStop(signals, [] {
+    support::LogWarning("settings.unchanged",
+                        {{"reason", "a node reads its settings at start"}});
+  });
   node.Drain();
   return kExitSuccess;
 }
 
+std::optional<relay::Settings> ReadRelay(const std::string& path) {
+  support::SettingsFile file(path);
+  relay::Settings settings = relay::ReadSettings(file);
+  if (!ReportFaults(file))
+    return std::nullopt;
+  return settings;
+}
+
+std::optional<control::Settings> ReadControl(const std::string& path) {
+  support::SettingsFile file(path);
+  control::Settings settings = control::ReadSettings(file);
+  if (!ReportFaults(file))
+    return std::nullopt;
+  return settings;
+}
+
+/// Reads changed settings of a running process, which goes on with the ones it
+/// has if the file is not valid.
+template <typename Read>
+auto TryRead(Read read) -> decltype(read()) {
+  try {
+    return read();
+  } catch (const support::Error& error) {
+    support::LogWarning("settings.unreadable", {{"error", error.what()}});
+    return std::nullopt;
+  }
+}
+
 int RunRelay(const std::string& path) {
-  const auto read = [path]() -> std::optional<relay::Settings> {
-    support::SettingsFile file(path);
-    relay::Settings settings = relay::ReadSettings(file);
-    if (!ReportFaults(file))
-      return std::nullopt;
-    return settings;
-  };
-  auto settings = read();
+  auto settings = ReadRelay(path);
   if (!settings)
     return kExitUsage;
   support::InitLog(support::LogLevel::kInfo, "relay", settings->id);
   signal(SIGPIPE, SIG_IGN);
-  relay::Relay relay(std::move(*settings), platform::MakeAdapter(), read);
+  relay::Relay relay(std::move(*settings), platform::MakeAdapter(), [path] {
+    return TryRead([&path] { return ReadRelay(path); });
+  });
   relay.Run();
   return kExitSuccess;
 }
 
 int RunControl(const std::string& path) {
-  support::SettingsFile file(path);
-  control::Settings settings = control::ReadSettings(file);
-  if (!ReportFaults(file))
+  auto settings = ReadControl(path);
+  if (!settings)
     return kExitUsage;
-  support::InitLog(support::LogLevel::kInfo, "control", settings.id);
+  support::InitLog(support::LogLevel::kInfo, "control", settings->id);
   const sigset_t signals = BlockStopSignals();
-  const auto policy_listen = settings.policy_listen;
-  control::Control control(std::move(settings));
+  const auto policy_listen = settings->policy_listen;
+  control::Control control(std::move(*settings));
   std::optional<platform::OperatorFront> front;
   if (policy_listen) {
     front.emplace(*policy_listen,
@@ -118,7 +151,12 @@
                     control.OperatePolicy(std::move(request), std::move(done));
                   });
   }
-  WaitForStop(signals);
+  WaitForStop(signals, [&control, path] {
+    const auto changed = TryRead([&path] { return ReadControl(path); });
+    support::LogInfo("settings.reloaded", {{"valid", changed.has_value()}});
+    if (changed)
+      control.SetSeeds(changed->seeds);
+  });
   return kExitSuccess;
 }
 
--- a/unittests/consensus/cluster_sim.h
+++ b/unittests/consensus/cluster_sim.h
@@ -103,15 +103,21 @@
     milliseconds restart_at{0};
     // File operations until it crashes in the midst of one; negative for never.
     int crash_after = -1;
+    bool started_before = false;
   };
 
+  /// Processes that a cluster with open membership is told of in advance.
+  static constexpr int kSeeds = 3;
+
   ClusterSim(std::uint64_t seed, int processes, CoreOptions options)
       : random_(seed), options_(std::move(options)) {
-    for (int i = 0; i < processes; ++i)
-      options_.peers.push_back("10.0.0." + std::to_string(i + 1) + ":1");
+    const int told = options_.open_membership ? kSeeds : processes;
+    for (int i = 0; i < told; ++i)
+      options_.peers.push_back(NextAddress());
     for (int i = 0; i < processes; ++i) {
       auto process = std::make_unique<Process>();
-      process->address = options_.peers[static_cast<std::size_t>(i)];
+      process->address = i < told ? options_.peers[static_cast<std::size_t>(i)]
+                                  : NextAddress();
       process->clock = std::make_unique<SkewedClock>(
           now_, milliseconds(3600000 + 977 * i),
           0.96 + 0.02 * static_cast<double>(Below(5)));
@@ -140,6 +146,10 @@
       process.machine = std::make_unique<CheckingMachine>(history_);
       CoreOptions options = options_;
       options.address = process.address;
+      // Only the first start of all is told that the disks are empty.
+      if (options.open_membership)
+        options.may_form_cluster = !process.started_before;
+      process.started_before = true;
       process.core.reset(new Core(
           options, {.clock = *process.clock,
                     .storage = *process.storage,
@@ -172,6 +182,15 @@
     at(i).files = MemoryFiles();
   }
 
+  /// Replaces a process by an empty one at another address, which is told the
+  /// addresses of two others.
+  void Replace(int i, milliseconds downtime) {
+    Wipe(i, downtime);
+    at(i).address = NextAddress();
+    options_.peers = {at((i + 1) % size()).address,
+                      at((i + 2) % size()).address};
+  }
+
   /// Returns whether every process is up and knows all others as voters under
   /// their present identities, so that one more loss costs no majority.
   bool IsComplete() {
@@ -274,6 +293,10 @@
   int disturbance = 0;
 
  private:
+  std::string NextAddress() {
+    return "10.0.0." + std::to_string(++addresses_) + ":1";
+  }
+
   template <typename Work>
   void Guarded(int i, Work work) {
     try {
@@ -352,6 +375,7 @@
   }
 
   std::mt19937_64 random_;
+  int addresses_ = 0;
   CoreOptions options_;
   milliseconds now_{0};
   History history_;
--- a/unittests/ctl/reference_test.cc
+++ b/unittests/ctl/reference_test.cc
@@ -39,7 +39,8 @@
 TEST_CASE("docs/settings.md names every key of the settings files") {
   const std::string page = ReadFile("docs/settings.md");
   const std::regex key_text(R"re(file\.\w+\(\s*"([a-z_.]+)")re");
-  for (const char* path : {"lib/node/settings.cc", "lib/control/settings.cc"}) {
+  for (const char* path : {"lib/node/settings.cc", "lib/control/settings.cc",
+                           "lib/relay/settings.cc"}) {
     const std::string source = ReadFile(path);
     const std::sregex_iterator first(source.begin(), source.end(), key_text);
     REQUIRE(std::distance(first, std::sregex_iterator()) >= 10);
--- /dev/null
+++ b/unittests/relay/peer_protocol_test.cc
@@ -0,0 +1,105 @@
+// What relays tell each other about calls and outcomes.
+
+#include "peer_protocol.h"
+
+#include <catch2/catch.hpp>
+
+namespace yuccastair::relay {
+namespace {
+
+using namespace std::chrono_literals;
+namespace http = stream::http;
+
+RelayCall MakeCall(support::TimePoint now) {
+  RelayCall call;
+  call.request_id = "id1";
+  call.head.method(http::verb::put);
+  call.head.target("/a/b?c");
+  call.head.set("X-Custom", "kept");
+  call.service = "s";
+  call.route = "r";
+  call.organisation = "o";
+  call.caller_service = "c";
+  call.importance = wire::IMPORTANCE_LOW;
+  call.depth = 2;
+  call.idempotent = true;
+  call.deadline = now + 700ms;
+  call.queue_until = now + 90ms;
+  return call;
+}
+
+TEST_CASE("a call arrives as it was sent") {
+  const support::TimePoint now(1h);
+  const RelayCall sent = MakeCall(now);
+  RelayCall got;
+  REQUIRE(DecodeCall(EncodeCall(sent, now), now, got));
+  CHECK(got.request_id == "id1");
+  CHECK(got.service == "s");
+  CHECK(got.route == "r");
+  CHECK(got.organisation == "o");
+  CHECK(got.caller_service == "c");
+  CHECK(got.importance == wire::IMPORTANCE_LOW);
+  CHECK(got.depth == 2);
+  CHECK(got.idempotent);
+  CHECK(got.deadline == sent.deadline);
+  CHECK(got.queue_until == sent.queue_until);
+  CHECK(got.head.target() == "/a/b?c");
+  CHECK(got.head["X-Custom"] == "kept");
+  CHECK(got.head.find("yc-request") == got.head.end());
+  CHECK(got.head.find("yc-call") == got.head.end());
+}
+
+// Guards against a caller that claims another organisation or importance by
+// headers of the relays.
+TEST_CASE("headers of this protocol are removed from what callers send") {
+  http::header<true> head;
+  head.set("YC-Organisation", "other");
+  head.set("yc-call", "1,1,0,1,1");
+  head.set("yes", "kept");
+  RemovePeerHeaders(head);
+  CHECK(head.find("yc-organisation") == head.end());
+  CHECK(head.find("yc-call") == head.end());
+  CHECK(head["yes"] == "kept");
+}
+
+TEST_CASE("what is not the call of a relay is refused") {
+  const support::TimePoint now(1h);
+  for (const char* numbers : {"", "x", "1,2", "1,2,9,1,1"}) {
+    CAPTURE(numbers);
+    http::header<true> head = EncodeCall(MakeCall(now), now);
+    head.set("yc-call", numbers);
+    RelayCall call;
+    CHECK_FALSE(DecodeCall(head, now, call));
+  }
+}
+
+TEST_CASE("an outcome arrives with its load") {
+  CallResult sent = CallResult::NotRun("the queue is full");
+  sent.reached_target = true;
+  sent.retry_after = 250ms;
+  sent.load.emplace();
+  sent.load->set_running(7);
+  sent.load->set_limit(9);
+  sent.load->set_state(wire::TARGET_STATE_COLD);
+  CallResult got;
+  REQUIRE(DecodeResult(EncodeResult(sent), got));
+  CHECK(got.outcome == wire::OUTCOME_NOT_RUN);
+  CHECK(got.reason == "the queue is full");
+  CHECK(got.reached_target);
+  CHECK(got.retry_after == 250ms);
+  CHECK(got.load->running() == 7);
+  CHECK(got.load->limit() == 9);
+  CHECK(got.load->state() == wire::TARGET_STATE_COLD);
+}
+
+// Guards against an answer of some other process at a reused address, which
+// would be passed on as that of the target.
+TEST_CASE("an answer without an outcome is none") {
+  http::header<false> head;
+  head.result(200);
+  CallResult got;
+  CHECK_FALSE(DecodeResult(head, got));
+}
+
+}  // namespace
+}  // namespace yuccastair::relay
--- /dev/null
+++ b/unittests/relay/share_picker_test.cc
@@ -0,0 +1,45 @@
+// The distribution of a route over its services.
+
+#include "share_picker.h"
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <map>
+
+namespace yuccastair::relay {
+namespace {
+
+wire::PolicyRoute Route(std::uint32_t first, std::uint32_t second) {
+  wire::PolicyRoute route;
+  route.set_name("r");
+  route.add_shares()->set_service("a");
+  route.add_shares()->set_service("b");
+  route.mutable_shares(0)->set_weight(first);
+  route.mutable_shares(1)->set_weight(second);
+  return route;
+}
+
+// Guards against shares that are right only over long times: windows of a few
+// hundred requests over many relays are judged.
+TEST_CASE("every stretch of requests has its shares to within two") {
+  for (std::uint32_t start : {0U, 1U, 5U}) {
+    SharePicker picker([start](std::uint32_t bound) { return start % bound; });
+    const wire::PolicyRoute route = Route(90, 10);
+    int others = 0;
+    for (int i = 1; i <= 1000; ++i) {
+      others += picker.Pick(route) == "b" ? 1 : 0;
+      CAPTURE(start, i, others);
+      REQUIRE(std::abs(others - i / 10) <= 2);
+    }
+  }
+}
+
+TEST_CASE("a weight of 0 gets nothing") {
+  SharePicker picker([](std::uint32_t) { return 0U; });
+  const wire::PolicyRoute route = Route(0, 7);
+  for (int i = 0; i < 20; ++i)
+    CHECK(picker.Pick(route) == "b");
+}
+
+}  // namespace
+}  // namespace yuccastair::relay
