Keep a share of each target for its own callers

Change: calls of running requests go first again and wait until their objective, but 15% of the slots go to callers before them. Refused callers are spread over the upper two thirds of the time. The own zone is used until its best target is at 0.9 of its limit.

--- a/include/yuccastair/admission/admission.h
+++ b/include/yuccastair/admission/admission.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -125,6 +126,8 @@
   struct Running {
     std::string route;
     support::TimePoint started;
+    // Whether a caller made the call.
+    bool new_work = true;
   };
 
   // Mean and mean deviation, as TCP estimates round trips.
@@ -139,6 +142,7 @@
   bool Hopeless(const Call& call, Reason& reason) const;
   bool RateBound() const { return clock_.Now() < cold_until_; }
   bool HasRoom();
+  std::optional<Call> NextCall();
   void Run(const Call& call, Decisions& decisions);
   void Dispatch(Decisions& decisions);
   void RejectAll(Reason reason, Decisions& decisions);
@@ -154,6 +158,8 @@
   support::TimePoint cold_until_;
   CallQueue queue_;
   std::unordered_map<std::uint64_t, Running> running_;
+  // Of running_, the calls that callers made.
+  std::uint32_t running_new_ = 0;
   std::unordered_map<std::string, ServiceTime> service_times_;
   wire::TargetState state_ = wire::TARGET_STATE_DOWN;
   std::string incarnation_;
--- a/include/yuccastair/admission/call_queue.h
+++ b/include/yuccastair/admission/call_queue.h
@@ -52,6 +52,10 @@
   /// Takes the call whose turn it is.
   std::optional<Call> Pop();
 
+  /// Takes the call whose turn it is among those of callers; nothing if only
+  /// work in progress is queued.
+  std::optional<Call> PopNew();
+
   /// Decides who has to go for \p arrival when the queue is full: a queued call
   /// of the lowest band if the arrival's band is higher, or one of the
   /// organisation with the most queued calls if that is in the same band and
@@ -114,6 +118,7 @@
   static constexpr std::size_t kBands = 8;
 
   static std::size_t BandOf(const Call& call);
+  std::optional<Call> PopFrom(Band& band);
   static void Start(Band& band, Organisation& organisation);
   static void Forget(Band& band);
   void Erase(std::size_t band, const std::string& organisation, Key key);
--- a/include/yuccastair/admission/options.h
+++ b/include/yuccastair/admission/options.h
@@ -32,6 +32,10 @@
 };
 
 struct Options {
+  /// Part of the limit that calls of callers may use before work in progress of
+  /// any importance goes first. Where calls of other targets fill a target, its
+  /// own callers would get nothing otherwise.
+  double new_work_share = 0;
   LimitOptions limit;
   QueueOptions queue;
   ColdOptions cold;
--- a/lib/admission/admission.cc
+++ b/lib/admission/admission.cc
@@ -157,6 +157,7 @@
     return;
   const Running run = std::move(found->second);
   running_.erase(found);
+  running_new_ -= run.new_work ? 1 : 0;
   const auto latency = clock_.Now() - run.started;
   if (end != ExchangeEnd::kCancelled) {
     if (end == ExchangeEnd::kComplete)
@@ -264,16 +265,25 @@
 }
 
 void Admission::Run(const Call& call, Decisions& decisions) {
-  running_[call.id] = Running{call.route, clock_.Now()};
+  running_[call.id] = Running{call.route, clock_.Now(), call.depth <= 1};
+  running_new_ += call.depth <= 1 ? 1 : 0;
   if (RateBound())
     start_rate_.Take(clock_.Now());
   limit_.OnStart(running());
   decisions.push_back(Describe(call, Verdict::kRun, Reason::kAdmitted));
 }
 
+std::optional<Call> Admission::NextCall() {
+  if (running_new_ < options_.new_work_share * limit()) {
+    if (auto call = queue_.PopNew())
+      return call;
+  }
+  return queue_.Pop();
+}
+
 void Admission::Dispatch(Decisions& decisions) {
   while (HasRoom()) {
-    const auto call = queue_.Pop();
+    const auto call = NextCall();
     if (!call)
       return;
     Reason reason = Reason::kAdmitted;
--- a/lib/admission/call_queue.cc
+++ b/lib/admission/call_queue.cc
@@ -66,12 +66,25 @@
                                  [](const Band& b) { return b.size > 0; });
   if (band == bands_.end())
     return std::nullopt;
-  const auto [tag, name] = *band->turns.begin();
-  Organisation& organisation = band->organisations[name];
-  Start(*band, organisation);
+  return PopFrom(*band);
+}
+
+std::optional<Call> CallQueue::PopNew() {
+  // Bands of work in progress and of new work alternate.
+  for (std::size_t index = 1; index < kBands; index += 2) {
+    if (bands_[index].size > 0)
+      return PopFrom(bands_[index]);
+  }
+  return std::nullopt;
+}
+
+std::optional<Call> CallQueue::PopFrom(Band& band) {
+  const auto [tag, name] = *band.turns.begin();
+  Organisation& organisation = band.organisations[name];
+  Start(band, organisation);
   const std::uint64_t id = organisation.calls.begin()->second;
   std::optional<Call> call = Remove(id);
-  Forget(*band);
+  Forget(band);
   return call;
 }
 
--- a/lib/relay/entry.cc
+++ b/lib/relay/entry.cc
@@ -35,8 +35,8 @@
 // below that.
 constexpr int kRetryAfterShare = 4;
 
-// Lines about requests that a process writes; a line costs as much as refusing a
-// request.
+// Lines about requests that a process writes; a line costs as much as refusing
+// a request.
 constexpr double kLinesPerSecond = 20;
 constexpr double kLineBurst = 40;
 
@@ -64,7 +64,9 @@
 }  // namespace
 
 Entry::Entry(Parts parts, std::string own_id, std::string service)
-    : parts_(parts), own_id_(std::move(own_id)), service_(std::move(service)),
+    : parts_(parts),
+      own_id_(std::move(own_id)),
+      service_(std::move(service)),
       lines_(parts.clock, kLinesPerSecond, kLineBurst) {}
 
 Task<void> Entry::Handle(stream::ServerExchange& exchange) {
@@ -112,7 +114,8 @@
     within_rate = co_await parts_.rates.Take(call.organisation);
   if (!within_rate) {
     refusal = {429, "the organisation is over its rate",
-               parts_.rates.RetryAfter(call.organisation)};
+               std::max(parts_.rates.RetryAfter(call.organisation),
+                        SpreadRetry(request))};
     co_await Refuse(exchange, request, refusal);
     co_return;
   }
@@ -185,17 +188,21 @@
   return true;
 }
 
-/// A call of the own target is as important as the request that makes it, and
-/// goes before new requests of that importance.
+/// A call of the own target goes before new requests: the request that makes it
+/// has been admitted, and its work would be lost.
 void Entry::InheritFromParent(Request& request) const {
   RelayCall& call = request.call;
   request.parent =
       parts_.door.running_requests().FindParent(request.asked_until);
   if (!request.parent)
     return;
-  call.importance = request.parent->importance;
+  call.importance = wire::IMPORTANCE_CRITICAL;
   call.depth = request.parent->depth + 1;
   call.inherited_repeat = request.parent->repeated;
+  // A refusal would waste all the work of the request.
+  call.queue_until =
+      std::min(call.deadline,
+               request.began + milliseconds(request.route->objective_ms()));
 }
 
 void Entry::SetDeadlines(const std::string& announced, Request& request) const {
@@ -318,18 +325,24 @@
   co_await Refuse(exchange, request, RefusalFor(request, result));
 }
 
+/// Returns when a refused caller should come back: spread over a part of the
+/// time that it has, so that those refused together do not come together.
+milliseconds Entry::SpreadRetry(const Request& request) const {
+  const milliseconds left = TimeLeft(request.call.deadline, parts_.clock.Now());
+  const milliseconds longest =
+      std::clamp(left / kRetryAfterShare, kMinRetryAfter, kMaxRetryAfter);
+  const milliseconds shortest = std::max(kMinRetryAfter, longest / 3);
+  const auto spread =
+      static_cast<std::uint32_t>((longest - shortest).count() + 1);
+  return shortest + milliseconds(support::RandomBelow(spread));
+}
+
 Entry::Refusal Entry::RefusalFor(const Request& request,
                                  const CallResult& result) const {
   const support::TimePoint now = parts_.clock.Now();
   const milliseconds left = TimeLeft(request.call.deadline, now);
-  if (!request.may_have_run) {
-    const milliseconds longest =
-        std::clamp(left / kRetryAfterShare, kMinRetryAfter, kMaxRetryAfter);
-    const auto spread =
-        static_cast<std::uint32_t>((longest - kMinRetryAfter).count() + 1);
-    return {503, result.reason,
-            kMinRetryAfter + milliseconds(support::RandomBelow(spread))};
-  }
+  if (!request.may_have_run)
+    return {503, result.reason, SpreadRetry(request)};
   return {left.count() == 0 ? 504U : 502U, result.reason};
 }
 
--- a/lib/relay/entry.h
+++ b/lib/relay/entry.h
@@ -84,6 +84,7 @@
   stream::Task<void> Refuse(stream::ServerExchange& exchange,
                             const Request& request,
                             const Refusal& refusal);
+  std::chrono::milliseconds SpreadRetry(const Request& request) const;
   Refusal RefusalFor(const Request& request, const CallResult& result) const;
   void Record(const Request& request,
               unsigned status,
--- a/lib/relay/fleet.cc
+++ b/lib/relay/fleet.cc
@@ -10,14 +10,14 @@
 namespace yuccastair::relay {
 namespace {
 
-// Repeats are counted exactly where they arrive (RepeatBudget); these bounds only
-// keep one relay from asking for more than all of it.
+// Repeats are counted exactly where they arrive (RepeatBudget); these bounds
+// only keep one relay from asking for more than all of it.
 constexpr double kRetryShare = 0.3;
 constexpr double kRetryBurst = 10;
-// The own zone is used until its best target has a queue of a tenth of its
-// limit. Bytes between zones cost, and such a queue costs a tenth of the time
-// that a request takes.
-constexpr double kOwnZoneRoom = 1.1;
+// The own zone is used until its best target is nearly full, since bytes
+// between zones cost. With 1.1 (a queue at the own target) a tenth of the
+// requests of a zone with slow targets was refused while others had room.
+constexpr double kOwnZoneRoom = 0.9;
 
 routing::Options RouterOptions() {
   routing::Options options;
--- a/lib/relay/target_door.cc
+++ b/lib/relay/target_door.cc
@@ -22,6 +22,10 @@
 // nearly full, and health checks and new connections take slots too.
 constexpr double kUsedSlots = 0.94;
 constexpr std::uint32_t kAssumedSlots = 16;
+// Slots that callers get before the calls of other targets. A service that is
+// called four times for each request of another one gets about a tenth of its
+// load from its own callers.
+constexpr double kNewWorkShare = 0.15;
 // Calls that may wait for a slot, as a multiple of the slots. With the bound on
 // each call's waiting time it only limits memory.
 constexpr std::size_t kQueuePerSlot = 4;
@@ -90,6 +94,7 @@
   // searched for, and a cold start is bounded by its rate.
   options.limit = {limit, limit, limit};
   options.queue.max = kQueuePerSlot * slots;
+  options.new_work_share = kNewWorkShare;
   options.cold.initial_limit = limit;
   options.cold.ramp = kNoRamp;
   options.cold.per_second = cold_per_second_;
@@ -249,11 +254,11 @@
   } else if (!CountArrival(call)) {
     result = CallResult::NotRun("too many requests are repeated");
   } else {
-    auto running = std::make_shared<RunningRequest>(RunningRequest{
-        .deadline = call.deadline,
-        .importance = call.importance,
-        .depth = call.depth,
-        .repeated = call.repeat || call.inherited_repeat});
+    auto running = std::make_shared<RunningRequest>(
+        RunningRequest{.deadline = call.deadline,
+                       .importance = call.importance,
+                       .depth = call.depth,
+                       .repeated = call.repeat || call.inherited_repeat});
     requests_.Add(running);
     result = co_await Exchange(call, end);
     requests_.Remove(running);
