--- a/include/yuccastair/control/control.h
+++ b/include/yuccastair/control/control.h
@@ -30,7 +30,7 @@
   /// calls \p done once, on a thread of this object. Safe for use by several
   /// threads.
   void OperatePolicy(wire::PolicyRequest request,
-                     std::function<void(const wire::PolicyReply&)> done);
+                     const std::function<void(const wire::PolicyReply&)>& done);
 
  private:
   class Impl;
--- a/include/yuccastair/observe/line_budget.h
+++ b/include/yuccastair/observe/line_budget.h
@@ -13,8 +13,8 @@
 
 namespace yuccastair::observe {
 
-/// A token bucket for log lines. Under overload, writing a line for each refused
-/// request would cost more than refusing it.
+/// A token bucket for log lines. Under overload, writing a line for each
+/// refused request would cost more than refusing it.
 class LineBudget {
  public:
   LineBudget(const support::Clock& clock, double per_second, double burst)
--- a/lib/control/control.cc
+++ b/lib/control/control.cc
@@ -114,7 +114,8 @@
                           {{"reason", "too many events wait"}});
   }
 
-  void OperatePolicy(wire::PolicyRequest request, PolicyService::Done done) {
+  void OperatePolicy(wire::PolicyRequest request,
+                     const PolicyService::Done& done) {
     std::function<void()> task = [this, request = std::move(request), done] {
       policy_service_.Operate(request, done);
     };
@@ -384,8 +385,8 @@
 
 void Control::OperatePolicy(
     wire::PolicyRequest request,
-    std::function<void(const wire::PolicyReply&)> done) {
-  impl_->OperatePolicy(std::move(request), std::move(done));
+    const std::function<void(const wire::PolicyReply&)>& done) {
+  impl_->OperatePolicy(std::move(request), done);
 }
 
 }  // namespace yuccastair::control
--- a/lib/relay/control_link.cc
+++ b/lib/relay/control_link.cc
@@ -104,8 +104,8 @@
 }
 
 /// Turns to the next control process. Once all that are known have been asked
-/// in vain, all may have changed address, and the seeds are asked again. Returns
-/// whether there is one that has not been asked in this round.
+/// in vain, all may have changed address, and the seeds are asked again.
+/// Returns whether there is one that has not been asked in this round.
 bool ControlLink::Move() {
   support::LogWarning("control.lost",
                       {{"control", order_[current_]},
--- a/lib/relay/peer_protocol.cc
+++ b/lib/relay/peer_protocol.cc
@@ -21,15 +21,16 @@
 // hold that goes into a header.
 constexpr const char* kHeader = "yc";
 constexpr char kSeparator = '\t';
-// Deadline ms, queue ms, importance, depth, idempotent, repeat, inherited repeat.
+// Deadline ms, queue ms, importance, depth, idempotent, repeat, inherited
+// repeat.
 constexpr std::size_t kCallNumbers = 7;
 // Numbers, request id, service, route, organisation, caller service.
 constexpr std::size_t kCallParts = 6;
 // Outcome, status of the target, reached, retry after ms, running, queued,
 // limit, state, call failed.
 constexpr std::size_t kResultNumbers = 9;
-// The reason follows, if there is one: white space at the end of a header is not
-// passed on, so no part that may be empty can be the last.
+// The reason follows, if there is one: white space at the end of a header is
+// not passed on, so no part that may be empty can be the last.
 
 template <std::size_t kCount>
 std::string Join(const std::array<std::int64_t, kCount>& numbers) {
@@ -83,14 +84,12 @@
 
 http::header<true> EncodeCall(const RelayCall& call, support::TimePoint now) {
   http::header<true> head = call.head;
-  std::string text =
-      Join<kCallNumbers>({TimeLeft(call.deadline, now).count(),
-                          TimeLeft(call.queue_until, now).count(),
-                          call.importance, call.depth, call.idempotent,
-                          call.repeat, call.inherited_repeat});
-  for (const std::string* part :
-       {&call.request_id, &call.service, &call.route, &call.organisation,
-        &call.caller_service}) {
+  std::string text = Join<kCallNumbers>(
+      {TimeLeft(call.deadline, now).count(),
+       TimeLeft(call.queue_until, now).count(), call.importance, call.depth,
+       call.idempotent, call.repeat, call.inherited_repeat});
+  for (const std::string* part : {&call.request_id, &call.service, &call.route,
+                                  &call.organisation, &call.caller_service}) {
     text += kSeparator;
     text += *part;
   }
--- a/lib/relay/rate_guard.h
+++ b/lib/relay/rate_guard.h
@@ -21,8 +21,8 @@
 /// Waits for a token where there is none, since a lease grows with the traffic
 /// and a request to the leader takes a few ms. Where the leader has just said
 /// that an organisation has no tokens left, its requests are refused without a
-/// wait: they come in numbers, and each one that waits costs as much as one that
-/// is served. Used on the thread of its io_context.
+/// wait: they come in numbers, and each one that waits costs as much as one
+/// that is served. Used on the thread of its io_context.
 class RateGuard {
  public:
   /// \p send sends a request to the leader.
@@ -46,8 +46,7 @@
 
  private:
   struct Waiter {
-    explicit Waiter(stream::asio::io_context& context,
-                    support::TimePoint until)
+    explicit Waiter(stream::asio::io_context& context, support::TimePoint until)
         : timer(context, until) {}
 
     stream::asio::steady_timer timer;
--- a/lib/relay/relay.cc
+++ b/lib/relay/relay.cc
@@ -50,6 +50,7 @@
 std::vector<std::string> ToStrings(
     const std::vector<support::Address>& addresses) {
   std::vector<std::string> texts;
+  texts.reserve(addresses.size());
   for (const support::Address& address : addresses)
     texts.push_back(address.ToString());
   return texts;
--- a/lib/relay/repeat_budget.h
+++ b/lib/relay/repeat_budget.h
@@ -12,8 +12,8 @@
 /// repeats are spread over the relays that send them.
 ///
 /// The calls of a request that runs for the second time are repeats as well.
-/// They are never refused, because that would waste the work of the request, but
-/// they use up the budget.
+/// They are never refused, because that would waste the work of the request,
+/// but they use up the budget.
 class RepeatBudget {
  public:
   /// Part of the first arrivals; the fleet is allowed 0.2.
--- a/unittests/relay/peer_protocol_test.cc
+++ b/unittests/relay/peer_protocol_test.cc
@@ -96,8 +96,8 @@
   CHECK(got.load->state() == wire::TARGET_STATE_COLD);
 }
 
-// Guards against outcomes that are lost on the way: an HTTP parser removes white
-// space at the end of a header, and with it an empty last part.
+// Guards against outcomes that are lost on the way: an HTTP parser removes
+// white space at the end of a header, and with it an empty last part.
 TEST_CASE("an outcome without a reason survives an HTTP parser") {
   CallResult sent;
   sent.outcome = wire::OUTCOME_OK;
