Leave more of the repeats to the calls of repeated requests

Which request a call belongs to is guessed by its deadline, so some calls of repeated requests were counted as first arrivals.

Ruled out: relays that exceed their own share (the door counts all of them).

Change: 12% of the first arrivals in place of 17%.

Before: 1759 of 1754 allowed.

--- a/lib/relay/repeat_budget.h
+++ b/lib/relay/repeat_budget.h
@@ -16,8 +16,10 @@
 /// but they use up the budget.
 class RepeatBudget {
  public:
-  /// Part of the first arrivals; the fleet is allowed 0.2.
-  static constexpr double kShare = 0.17;
+  /// Part of the first arrivals; the fleet is allowed 0.2. The rest is left for
+  /// calls of repeated requests that are taken for those of others
+  /// (RunningRequests): with 0.17 a deep service had 0.2006 in 10 s.
+  static constexpr double kShare = 0.12;
   /// Repeats in one go, for each target; the fleet is allowed about 50 beyond
   /// the share for a service.
   static constexpr double kBurst = 3;
