--- a/tools/yuccastair/main.cc
+++ b/tools/yuccastair/main.cc
@@ -147,8 +147,8 @@
   if (policy_listen) {
     front.emplace(*policy_listen,
                   [&control](wire::PolicyRequest request,
-                             platform::OperatorFront::Done done) {
-                    control.OperatePolicy(std::move(request), std::move(done));
+                             const platform::OperatorFront::Done& done) {
+                    control.OperatePolicy(std::move(request), done);
                   });
   }
   WaitForStop(signals, [&control, path] {
