--- a/unittests/relay/target_door_test.cc
+++ b/unittests/relay/target_door_test.cc
@@ -91,6 +91,12 @@
   const std::string foreign =
       "HTTP/1.1 200 OK\r\nx-yuccastair-request-id: other\r\n"
       "x-yuccastair-seal: s\r\nContent-Length: 3\r\n\r\nold";
+  std::string foreign_first = foreign;
+  foreign_first.append(head).append(body);
+  std::string unsealed = "HTTP/1.1 200 OK\r\nx-yuccastair-request-id: {id}\r\n";
+  unsealed.append(body);
+  std::string encoded = head;
+  encoded.append("Content-Encoding: gzip\r\n").append(body);
   for (const Case& test : std::initializer_list<Case>{
            {"a whole answer", head + body, After::kKeep, wire::OUTCOME_OK,
             true},
@@ -106,18 +112,17 @@
            {"chunks that are cut off",
             head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n",
             After::kClose, wire::OUTCOME_UNKNOWN, true},
-           {"an answer to an earlier request first", foreign + head + body,
+           {"an answer to an earlier request first", foreign_first,
             After::kKeep, wire::OUTCOME_OK, true},
            {"an answer to another request alone", foreign, After::kClose,
             wire::OUTCOME_UNKNOWN, true},
-           {"a success without a seal",
-            "HTTP/1.1 200 OK\r\nx-yuccastair-request-id: {id}\r\n" + body,
-            After::kKeep, wire::OUTCOME_UNKNOWN, true},
+           {"a success without a seal", unsealed, After::kKeep,
+            wire::OUTCOME_UNKNOWN, true},
            {"a success without an id",
             "HTTP/1.1 200 OK\r\nx-yuccastair-seal: s\r\n" + body, After::kKeep,
             wire::OUTCOME_UNKNOWN, true},
-           {"an encoded success", head + "Content-Encoding: gzip\r\n" + body,
-            After::kKeep, wire::OUTCOME_UNKNOWN, true},
+           {"an encoded success", encoded, After::kKeep, wire::OUTCOME_UNKNOWN,
+            true},
            {"a failure of the target's own",
             "HTTP/1.1 500 Failed\r\nx-yuccastair-seal: s\r\n" + body,
             After::kKeep, wire::OUTCOME_OK, true},
