End an answer's body when its caller leaves, and read seeds anew

Cause, found by reading the change again: the hook that ends an exchange was removed once the header of the answer was there, so a caller that left while the body was on its way was not noticed (test: failed after 60 s, the call's deadline). An answer of more than 64 KiB with status 5xx that was repeated elsewhere kept its slot at the target for good. A relay whose seeds became empty while it waited divided by zero. Settings that change without a signal were never read.

Change: one function sets the hook for both kinds of exchange; a dropped answer is ended; a relay reads its settings when no control process answers. The set-up for callers that leave and the header of own answers stood twice (entry, peers) and are in send.cc now.

--- a/lib/relay/control_link.cc
+++ b/lib/relay/control_link.cc
@@ -107,6 +107,9 @@
 /// in vain, all may have changed address, and the seeds are asked again.
 /// Returns whether there is one that has not been asked in this round.
 bool ControlLink::Move() {
+  // The seeds may have been replaced while an answer was awaited.
+  if (order_.empty())
+    return false;
   support::LogWarning("control.lost",
                       {{"control", order_[current_]},
                        {"age_ms", std::chrono::duration_cast<milliseconds>(
@@ -116,9 +119,9 @@
   if (++moves_since_answer_ < order_.size())
     return true;
   moves_since_answer_ = 0;
-  if (std::exchange(reported_, {}).empty())
-    return false;
-  current_ = 0;
+  reported_.clear();
+  if (options_.refresh_seeds)
+    options_.refresh_seeds();
   ChooseOrder();
   return false;
 }
--- a/lib/relay/control_link.h
+++ b/lib/relay/control_link.h
@@ -29,6 +29,9 @@
     std::function<void(wire::SyncRequest&)> fill;
     std::function<void(const wire::SyncReply&)> apply;
     std::function<void(const wire::RateGrant&)> apply_grant;
+    /// Called when no control process that is known answers, and before the
+    /// seeds are asked: the settings may have changed without a signal.
+    std::function<void()> refresh_seeds;
   };
 
   ControlLink(stream::asio::io_context& context,
--- a/lib/relay/entry.cc
+++ b/lib/relay/entry.cc
@@ -49,12 +49,6 @@
   return std::string(fields[name]);
 }
 
-http::header<false> HeadWith(unsigned status) {
-  http::header<false> head;
-  head.result(status);
-  return head;
-}
-
 /// Seconds with three decimals, as Retry-After carries them.
 std::string ToSeconds(milliseconds time) {
   const std::string fraction = std::to_string(1000 + time.count() % 1000);
@@ -94,19 +88,7 @@
     co_return;
   }
   RelayCall& call = request.call;
-  if (call.body.whole()) {
-    exchange.Watch([&call] { call.cancellation.Request(); });
-  } else {
-    // While a long body is read, the end of the caller shows there.
-    call.body.more = [&call, more = std::move(call.body.more)](
-                         std::string& out,
-                         bool& done) -> Task<stream::ErrorCode> {
-      const stream::ErrorCode read_error = co_await more(out, done);
-      if (read_error)
-        call.cancellation.Request();
-      co_return read_error;
-    };
-  }
+  FollowCaller(exchange, call);
   const wire::PolicyOrganisation* organisation =
       request.policy->FindOrganisation(call.organisation);
   bool within_rate = true;
@@ -241,6 +223,9 @@
       request.may_have_run = true;
     if (!MayRepeat(request, result))
       co_return result;
+    // Ends an answer that is dropped, which may hold a slot of its target.
+    if (result.on_end)
+      result.on_end(false);
     support::LogDebug("request.repeated", {{"request", call.request_id},
                                            {"after", choice->node_id},
                                            {"reason", result.reason}});
--- a/lib/relay/peer_client.cc
+++ b/lib/relay/peer_client.cc
@@ -55,9 +55,9 @@
       [](const http::header<false>&) { return true; };
   const stream::ErrorCode error = co_await SendRequest(
       context_, connection, std::move(head), call, std::move(accept));
-  call.cancellation.ClearHook();
   CallResult result;
   if (error || !DecodeResult(connection->reader().head().base(), result)) {
+    call.cancellation.ClearHook();
     connection->Close();
     result = CallResult::Unknown("no answer from the relay at " +
                                  address.ToString() + ": " + error.message());
@@ -66,17 +66,11 @@
   }
   const stream::ErrorCode body_error =
       co_await ReceiveBody(pool_, connection, kMaxIdle, result);
+  FinishAnswer(connection, call, result);
   if (body_error && result.outcome == wire::OUTCOME_OK)
     co_return CallResult::Unknown("the answer from the relay at " +
                                   address.ToString() +
                                   " broke off: " + body_error.message());
-  if (!result.body.whole()) {
-    result.on_end = [connection](bool whole) {
-      if (!whole)
-        connection->Close();
-    };
-    call.cancellation.SetHook([connection] { connection->Close(); });
-  }
   co_return result;
 }
 
--- a/lib/relay/relay.cc
+++ b/lib/relay/relay.cc
@@ -56,12 +56,6 @@
   return texts;
 }
 
-http::header<false> HeadWith(unsigned status) {
-  http::header<false> head;
-  head.result(status);
-  return head;
-}
-
 }  // namespace
 
 class Relay::Impl {
@@ -138,6 +132,7 @@
     options.apply_grant = [this](const wire::RateGrant& grant) {
       rates_.Apply(grant);
     };
+    options.refresh_seeds = [this] { ReloadSettings(); };
     return options;
   }
 
@@ -197,18 +192,7 @@
       co_await exchange.RespondText(HeadWith(400), "not the call of a relay\n");
       co_return;
     }
-    if (call.body.whole()) {
-      exchange.Watch([&call] { call.cancellation.Request(); });
-    } else {
-      call.body.more = [&call, more = std::move(call.body.more)](
-                           std::string& out,
-                           bool& done) -> Task<stream::ErrorCode> {
-        const stream::ErrorCode read_error = co_await more(out, done);
-        if (read_error)
-          call.cancellation.Request();
-        co_return read_error;
-      };
-    }
+    FollowCaller(exchange, call);
     const Announcement* announced = door_.record().announced();
     if (announced != nullptr && announced->service != call.service)
       result = CallResult::NotRun("the target is of another service");
--- a/lib/relay/send.cc
+++ b/lib/relay/send.cc
@@ -130,6 +130,39 @@
   co_return ErrorCode();
 }
 
+void FinishAnswer(const std::shared_ptr<stream::ClientConnection>& connection,
+                  RelayCall& call,
+                  CallResult& result) {
+  if (result.body.whole()) {
+    call.cancellation.ClearHook();
+    return;
+  }
+  result.on_end = [connection](bool whole) {
+    if (!whole)
+      connection->Close();
+  };
+}
+
+void FollowCaller(stream::ServerExchange& exchange, RelayCall& call) {
+  if (call.body.whole()) {
+    exchange.Watch([&call] { call.cancellation.Request(); });
+    return;
+  }
+  call.body.more = [&call, more = std::move(call.body.more)](
+                       std::string& out, bool& done) -> Task<ErrorCode> {
+    const ErrorCode error = co_await more(out, done);
+    if (error)
+      call.cancellation.Request();
+    co_return error;
+  };
+}
+
+http::header<false> HeadWith(unsigned status) {
+  http::header<false> head;
+  head.result(status);
+  return head;
+}
+
 Task<bool> DeliverAnswer(stream::ServerExchange& exchange, CallResult& result) {
   const ErrorCode error =
       co_await exchange.Respond(std::move(result.head), result.body);
--- a/lib/relay/send.h
+++ b/lib/relay/send.h
@@ -38,6 +38,19 @@
     std::chrono::milliseconds max_idle,
     CallResult& result);
 
+/// Lets a caller that leaves end an answer whose body is not in memory yet, and
+/// nothing once it is.
+void FinishAnswer(const std::shared_ptr<stream::ClientConnection>& connection,
+                  RelayCall& call,
+                  CallResult& result);
+
+/// Makes \p call end when its caller leaves. While a long body is read from the
+/// caller, its end shows there.
+void FollowCaller(stream::ServerExchange& exchange, RelayCall& call);
+
+/// Returns the header of an answer of this process.
+stream::http::header<false> HeadWith(unsigned status);
+
 /// Passes an answer on to a client; an answer that ends early is cut off.
 stream::Task<bool> DeliverAnswer(stream::ServerExchange& exchange,
                                  CallResult& result);
--- a/lib/relay/target_door.cc
+++ b/lib/relay/target_door.cc
@@ -328,8 +328,8 @@
       };
   const stream::ErrorCode error = co_await SendRequest(
       context_, connection, std::move(head), call, std::move(accept));
-  call.cancellation.ClearHook();
   if (error) {
+    call.cancellation.ClearHook();
     connection->Close();
     if (call.cancellation.requested()) {
       end = ExchangeEnd::kCancelled;
@@ -347,20 +347,15 @@
   const auto max_idle = IdleTime(connection->reader().head().base());
   const stream::ErrorCode body_error =
       co_await ReceiveBody(pool_, connection, max_idle, result);
+  FinishAnswer(connection, call, result);
   if (result.outcome != wire::OUTCOME_OK)
     co_return result;
   if (body_error) {
-    end = ExchangeEnd::kBroken;
+    end = call.cancellation.requested() ? ExchangeEnd::kCancelled
+                                        : ExchangeEnd::kBroken;
     co_return CallResult::Unknown("the answer of the target broke off: " +
                                   body_error.message());
   }
-  if (!result.body.whole()) {
-    result.on_end = [connection](bool whole) {
-      if (!whole)
-        connection->Close();
-    };
-    call.cancellation.SetHook([connection] { connection->Close(); });
-  }
   co_return result;
 }
 
--- a/unittests/processes/control_log_test.cc
+++ b/unittests/processes/control_log_test.cc
@@ -21,6 +21,17 @@
   CHECK(cluster.WaitForAgreement(11));
 }
 
+// Guards against a control process that ends at SIGHUP, whose default action is
+// to end the process.
+TEST_CASE("a control process goes on after SIGHUP") {
+  ControlCluster cluster(3, 25100);
+  REQUIRE(cluster.Commit("before"));
+  for (int i = 0; i < 3; ++i)
+    cluster.Signal(i, SIGHUP);
+  REQUIRE(cluster.Commit("after"));
+  CHECK(cluster.WaitForAgreement(2));
+}
+
 TEST_CASE("a leader that was stopped does not present itself as current") {
   ControlCluster cluster(3, 25010);
   REQUIRE(cluster.Commit("before"));
--- a/unittests/relay/target_door_test.cc
+++ b/unittests/relay/target_door_test.cc
@@ -212,6 +212,23 @@
   CHECK(target.requests().empty());
 }
 
+// Guards against a target that goes on working for a caller that left while the
+// body of the answer was on its way.
+TEST_CASE_METHOD(DoorFixture, "a caller that leaves ends the answer's body") {
+  FakeTarget target(context_,
+                    std::string(kHead) + "Content-Length: 9\r\n\r\nbody",
+                    After::kKeep);
+  Announce(target);
+  RelayCall call;
+  Fill(call, "id1");
+  call.deadline = clock_.Now() + 60s;
+  stream::asio::steady_timer leave(context_, 100ms);
+  leave.async_wait(
+      [&](const stream::ErrorCode&) { call.cancellation.Request(); });
+  CHECK(Run(call).outcome == wire::OUTCOME_UNKNOWN);
+  CHECK(clock_.Now() < call.deadline);
+}
+
 // Guards against a repeat budget that one relay after the other uses up.
 TEST_CASE_METHOD(DoorFixture,
                  "repeats beyond the budget do not reach the target") {
