--- a/include/yuccastair/policy/policy_table.h
+++ b/include/yuccastair/policy/policy_table.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <unordered_map>
 
 #include "policy.pb.h"
 #include "yuccastair/consensus/state_machine.h"
@@ -31,12 +32,23 @@
   void RestoreSnapshot(const std::string& snapshot) override;
 
   const wire::PolicyState& state() const { return state_; }
+  /// Returns an organisation of the current policy; null if there is none.
+  const wire::PolicyOrganisation* FindOrganisation(
+      const std::string& name) const;
+  /// The current policy as nodes get it, encoded without its source.
+  const std::string& encoded() const { return encoded_; }
 
  private:
   wire::PolicyStatus Put(const wire::PolicyPut& put);
   void SetZone(const wire::ZoneChange& change);
+  /// Derives what follows from state_.
+  void Index();
 
   wire::PolicyState state_;
+  // Both derived from state_. The values point into it.
+  std::unordered_map<std::string, const wire::PolicyOrganisation*>
+      organisations_;
+  std::string encoded_;
 };
 
 }  // namespace yuccastair::policy
--- a/include/yuccastair/relay/settings.h
+++ b/include/yuccastair/relay/settings.h
@@ -4,6 +4,7 @@
 #define YUCCASTAIR_RELAY_SETTINGS_H_
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,6 +27,8 @@
   support::Address ready_listen;
   /// Where other relays send requests for the own target.
   support::Address peer_listen;
+  /// Where the metrics are shown as text; not served without it.
+  std::optional<support::Address> metrics_listen;
   /// Peer addresses of some control processes.
   std::vector<support::Address> seeds;
   /// Answers a stop request with exit within this time.
--- a/include/yuccastair/stream/message_reader.h
+++ b/include/yuccastair/stream/message_reader.h
@@ -3,6 +3,7 @@
 #ifndef YUCCASTAIR_STREAM_MESSAGE_READER_H_
 #define YUCCASTAIR_STREAM_MESSAGE_READER_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -57,7 +58,11 @@
   /// Reads the body to its end or until \p out has \p max bytes.
   Task<ErrorCode> ReadUpTo(std::string& out, std::size_t max) {
     while (!parser_->is_done() && out.size() < max) {
-      const std::size_t room = std::min(kReadSize, max - out.size());
+      std::size_t room = std::min(kReadSize, max - out.size());
+      // Most bodies are short and say how short.
+      if (const auto left = parser_->content_length_remaining())
+        room = static_cast<std::size_t>(
+            std::min<std::uint64_t>(room, std::max<std::uint64_t>(*left, 1)));
       const ErrorCode error = co_await ReadSome(out, room);
       if (error)
         co_return error;
--- a/include/yuccastair/support/clock.h
+++ b/include/yuccastair/support/clock.h
@@ -4,6 +4,7 @@
 #define YUCCASTAIR_SUPPORT_CLOCK_H_
 
 #include <chrono>
+#include <cstdint>
 
 namespace yuccastair::support {
 
@@ -34,6 +35,14 @@
   TimePoint now_{std::chrono::hours(1)};
 };
 
+/// Returns the Unix time in ms. It may jump, so it only orders starts of
+/// processes and dates records.
+inline std::int64_t WallClockMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 }  // namespace yuccastair::support
 
 #endif  // YUCCASTAIR_SUPPORT_CLOCK_H_
--- a/lib/control/control.cc
+++ b/lib/control/control.cc
@@ -37,6 +37,8 @@
 
 constexpr std::size_t kEventRingCapacity = 16384;
 constexpr std::chrono::milliseconds kCoreTick{10};
+// How often the members of the log are compared with those that are followed.
+constexpr std::chrono::milliseconds kMemberCheck{100};
 // Bounds the messages that share one sync of the log.
 constexpr int kMaxBatch = 256;
 constexpr std::size_t kOperatorRequests = 16;
@@ -55,12 +57,6 @@
 /// What the core thread takes from its ring.
 using CoreEvent = std::variant<PeerRequest, PeerAnswer, std::function<void()>>;
 
-std::int64_t WallClockMs() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 }  // namespace
 
 class Control::Impl {
@@ -182,7 +178,7 @@
   OperatorApi::Options OperatorOptions() {
     OperatorApi::Options options;
     options.id = settings_.id;
-    options.wall_clock_ms = WallClockMs;
+    options.wall_clock_ms = support::WallClockMs;
     for (std::size_t i = 0;
          i < settings_.operator_peers.size() && i < settings_.peers.size(); ++i)
       options.operator_addresses[settings_.peers[i].ToString()] =
@@ -234,11 +230,9 @@
   rates::LimitLookup Limits() const {
     return [this](const std::string& organisation)
                -> std::optional<rates::RateLimit> {
-      for (const wire::PolicyOrganisation& candidate :
-           policy_table_.state().policy().organisations()) {
-        if (candidate.name() == organisation && candidate.rate() > 0)
-          return rates::RateLimit{candidate.rate(), candidate.burst()};
-      }
+      if (const auto* member = policy_table_.FindOrganisation(organisation);
+          member != nullptr && member->rate() > 0)
+        return rates::RateLimit{member->rate(), member->burst()};
       const wire::SettingsEntry* entry =
           settings_table_.tree().Find("organisation/" + organisation);
       if (entry == nullptr)
@@ -248,6 +242,22 @@
     };
   }
 
+  /// Returns what sends an answer that comes after the commit; \p part is the
+  /// envelope's accessor for it.
+  template <typename Message>
+  std::function<void(const Message&)> ReplyLater(
+      const PeerRequest& request,
+      Message* (wire::Envelope::*part)()) {
+    return
+        [this, route = request.route, part,
+         correlation = request.envelope.correlation()](const Message& message) {
+          wire::Envelope answer;
+          answer.set_correlation(correlation);
+          *(answer.*part)() = message;
+          transport_.Reply(route, std::move(answer));
+        };
+  }
+
   void Handle(const PeerRequest& request) {
     const auto answer_log = [this,
                              route = request.route](wire::Envelope envelope) {
@@ -266,31 +276,19 @@
     if (request.envelope.has_claim_request()) {
       claim_service_.Handle(
           request.envelope.claim_request(),
-          [this, route = request.route,
-           answer = std::move(answer)](const wire::ClaimReply& reply) mutable {
-            *answer.mutable_claim_reply() = reply;
-            transport_.Reply(route, std::move(answer));
-          });
+          ReplyLater(request, &wire::Envelope::mutable_claim_reply));
       return;
     }
     if (request.envelope.has_crash_report()) {
       crash_service_.Handle(
           request.envelope.crash_report(),
-          [this, route = request.route, answer = std::move(answer)](
-              const wire::CrashReportReply& reply) mutable {
-            *answer.mutable_crash_report_reply() = reply;
-            transport_.Reply(route, std::move(answer));
-          });
+          ReplyLater(request, &wire::Envelope::mutable_crash_report_reply));
       return;
     }
     if (request.envelope.has_policy_request()) {
       policy_service_.OperateAsLeader(
           request.envelope.policy_request(),
-          [this, route = request.route,
-           answer = std::move(answer)](const wire::PolicyReply& reply) mutable {
-            *answer.mutable_policy_reply() = reply;
-            transport_.Reply(route, std::move(answer));
-          });
+          ReplyLater(request, &wire::Envelope::mutable_policy_reply));
       return;
     }
     if (request.envelope.has_membership_pull()) {
@@ -317,8 +315,10 @@
 
   /// Follows the members of the log where they are not known in advance.
   void FollowControlProcesses() {
-    if (settings_.seeds.empty())
+    const support::TimePoint now = clock_.Now();
+    if (settings_.seeds.empty() || now < members_checked_at_ + kMemberCheck)
       return;
+    members_checked_at_ = now;
     std::vector<std::string> others = log_.ControlAddresses();
     std::erase(others, settings_.peer_listen.ToString());
     if (others == other_controls_)
@@ -365,6 +365,7 @@
   PolicyService policy_service_;
   SyncService sync_service_;
   std::vector<std::string> other_controls_;
+  support::TimePoint members_checked_at_;
   std::uint64_t zones_version_ = 0;
   std::uint64_t policy_zones_revision_ = 0;
   support::BoundedRing<CoreEvent> events_;
--- a/lib/control/policy_service.cc
+++ b/lib/control/policy_service.cc
@@ -102,9 +102,7 @@
   reply.set_zones_revision(state.zones_revision());
   if (request.policy_version() >= state.policy().version())
     return;
-  wire::Policy policy = state.policy();
-  policy.clear_source();
-  reply.set_policy(policy.SerializeAsString());
+  reply.set_policy(table_.encoded());
 }
 
 }  // namespace yuccastair::control
--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -50,13 +50,6 @@
   return texts;
 }
 
-std::uint64_t WallClockMs() {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<milliseconds>(
-          std::chrono::system_clock::now().time_since_epoch())
-          .count());
-}
-
 /// Hands the target the span of its own node as the parent of its spans.
 void ReplaceTraceparent(const observe::TraceContext& context,
                         wire::CallRequest& call) {
@@ -79,7 +72,7 @@
   explicit Impl(Settings settings)
       : settings_(std::move(settings)),
         incarnation_(support::RandomId()),
-        started_ms_(WallClockMs()),
+        started_ms_(static_cast<std::uint64_t>(support::WallClockMs())),
         leader_(ToStrings(settings_.controls)),
         observer_(settings_),
         target_(settings_.target_workers, running_, {}, {}),
--- a/lib/policy/policy_table.cc
+++ b/lib/policy/policy_table.cc
@@ -53,6 +53,7 @@
   wire::AcceptedPolicy* entry = state_.add_accepted();
   entry->set_version(version);
   entry->set_digest(digest);
+  Index();
   return wire::POLICY_STATUS_DONE;
 }
 
@@ -78,6 +79,23 @@
     throw support::Error("restore snapshot", "",
                          "the snapshot of the policy cannot be decoded");
   state_ = std::move(state);
+  Index();
+}
+
+const wire::PolicyOrganisation* PolicyTable::FindOrganisation(
+    const std::string& name) const {
+  const auto found = organisations_.find(name);
+  return found == organisations_.end() ? nullptr : found->second;
+}
+
+void PolicyTable::Index() {
+  organisations_.clear();
+  for (const wire::PolicyOrganisation& organisation :
+       state_.policy().organisations())
+    organisations_[organisation.name()] = &organisation;
+  wire::Policy for_nodes = state_.policy();
+  for_nodes.clear_source();
+  encoded_ = for_nodes.SerializeAsString();
 }
 
 }  // namespace yuccastair::policy
--- a/lib/relay/entry.cc
+++ b/lib/relay/entry.cc
@@ -175,7 +175,7 @@
 void Entry::InheritFromParent(Request& request) const {
   RelayCall& call = request.call;
   request.parent =
-      parts_.door.running_requests().FindParent(request.asked_until);
+      parts_.target.running_requests().FindParent(request.asked_until);
   if (!request.parent)
     return;
   call.importance = wire::IMPORTANCE_CRITICAL;
@@ -237,7 +237,7 @@
   RelayCall& call = request.call;
   CallResult result;
   if (choice.node_id == own_id_) {
-    result = co_await parts_.door.Run(call);
+    result = co_await parts_.target.Run(call);
   } else {
     const auto address = support::ParseAddress(choice.address);
     if (address)
--- a/lib/relay/entry.h
+++ b/lib/relay/entry.h
@@ -11,7 +11,7 @@
 #include "fleet.h"
 #include "peer_client.h"
 #include "rate_guard.h"
-#include "target_door.h"
+#include "target_proxy.h"
 #include "yuccastair/observe/line_budget.h"
 #include "yuccastair/observe/metrics.h"
 #include "yuccastair/relay/adapter.h"
@@ -28,7 +28,7 @@
     const support::Clock& clock;
     const HeaderNames& names;
     Fleet& fleet;
-    TargetDoor& door;
+    TargetProxy& target;
     PeerClient& peers;
     RateGuard& rates;
     observe::Metrics& metrics;
--- a/lib/relay/rate_guard.cc
+++ b/lib/relay/rate_guard.cc
@@ -18,7 +18,7 @@
 // The same while the organisation is known to be over its rate: enough for the
 // tokens that arise in one exchange with the leader.
 constexpr std::size_t kMaxWaitersExhausted = 2;
-// How long the word of the leader holds that there are no tokens.
+// How long a grant without tokens for all counts as the present state.
 constexpr milliseconds kExhaustionHolds{100};
 
 }  // namespace
--- a/lib/relay/relay.cc
+++ b/lib/relay/relay.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <chrono>
 #include <csignal>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -15,7 +16,7 @@
 #include "peer_protocol.h"
 #include "rate_guard.h"
 #include "send.h"
-#include "target_door.h"
+#include "target_proxy.h"
 #include "yuccastair/observe/metrics.h"
 #include "yuccastair/stream/server.h"
 #include "yuccastair/support/id.h"
@@ -40,13 +41,6 @@
 // gone.
 constexpr milliseconds kExitMargin{700};
 
-std::uint64_t WallClockMs() {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<milliseconds>(
-          std::chrono::system_clock::now().time_since_epoch())
-          .count());
-}
-
 std::vector<std::string> ToStrings(
     const std::vector<support::Address>& addresses) {
   std::vector<std::string> texts;
@@ -65,13 +59,13 @@
         adapter_(std::move(adapter)),
         reload_(std::move(reload)),
         incarnation_(support::RandomId()),
-        started_ms_(WallClockMs()),
+        started_ms_(static_cast<std::uint64_t>(support::WallClockMs())),
         fleet_(clock_, settings_.availability_zone),
-        door_(context_,
-              clock_,
-              adapter_.headers,
-              settings_.drain_time,
-              metrics_),
+        target_proxy_(context_,
+                      clock_,
+                      adapter_.headers,
+                      settings_.drain_time,
+                      metrics_),
         peers_(context_, clock_),
         rates_(context_,
                clock_,
@@ -81,10 +75,10 @@
                  link_.SendRateRequest(request);
                }),
         link_(context_, clock_, LinkOptions()),
-        entry_(
-            {clock_, adapter_.headers, fleet_, door_, peers_, rates_, metrics_},
-            settings_.id,
-            settings_.service),
+        entry_({clock_, adapter_.headers, fleet_, target_proxy_, peers_, rates_,
+                metrics_},
+               settings_.id,
+               settings_.service),
         callers_(context_,
                  settings_.caller_listen,
                  [this](stream::ServerExchange& exchange) {
@@ -106,7 +100,12 @@
                         return HandleReady(exchange);
                       }),
         signals_(context_, SIGTERM, SIGINT, SIGHUP) {
-    door_.on_state_changed = [this] { link_.Wake(); };
+    if (settings_.metrics_listen)
+      metrics_server_.emplace(context_, *settings_.metrics_listen,
+                              [this](stream::ServerExchange& exchange) {
+                                return HandleMetrics(exchange);
+                              });
+    target_proxy_.on_state_changed = [this] { link_.Wake(); };
   }
 
   void Run() {
@@ -142,10 +141,10 @@
     self->set_incarnation(incarnation_);
     self->set_availability_zone(settings_.availability_zone);
     self->set_address(settings_.peer_listen.ToString());
-    const Announcement* announced = door_.record().announced();
+    const Announcement* announced = target_proxy_.record().announced();
     self->set_service(announced != nullptr ? announced->service
                                            : settings_.service);
-    const wire::LoadReport load = door_.Load();
+    const wire::LoadReport load = target_proxy_.Load();
     self->set_state(stopping_ ? wire::TARGET_STATE_LEAVING : load.state());
     self->set_limit(load.limit());
     self->set_started_ms(started_ms_);
@@ -156,12 +155,12 @@
   void Apply(const wire::SyncReply& reply) {
     if (!fleet_.Apply(reply))
       return;
-    door_.SetZoneOut(fleet_.IsZoneOut(settings_.availability_zone));
+    target_proxy_.SetZoneOut(fleet_.IsZoneOut(settings_.availability_zone));
     const auto policy = fleet_.policy();
     if (!policy)
       return;
-    const Announcement* announced = door_.record().announced();
-    door_.SetService(policy->FindService(
+    const Announcement* announced = target_proxy_.record().announced();
+    target_proxy_.SetService(policy->FindService(
         announced != nullptr ? announced->service : settings_.service));
     const wire::PolicyLimits& limits = policy->policy().limits();
     stream::ServerLimits server;
@@ -193,11 +192,11 @@
       co_return;
     }
     FollowCaller(exchange, call);
-    const Announcement* announced = door_.record().announced();
+    const Announcement* announced = target_proxy_.record().announced();
     if (announced != nullptr && announced->service != call.service)
       result = CallResult::NotRun("the target is of another service");
     else
-      result = co_await door_.Run(call);
+      result = co_await target_proxy_.Run(call);
     if (call.cancellation.requested()) {
       if (result.on_end)
         result.on_end(false);
@@ -245,11 +244,11 @@
                            {"target", announcement.target_id}});
       return;
     }
-    door_.Announce(announcement);
+    target_proxy_.Announce(announcement);
     if (const auto policy = fleet_.policy();
-        policy && door_.record().announced())
-      door_.SetService(
-          policy->FindService(door_.record().announced()->service));
+        policy && target_proxy_.record().announced())
+      target_proxy_.SetService(
+          policy->FindService(target_proxy_.record().announced()->service));
   }
 
   Task<void> HandleReady(stream::ServerExchange& exchange) {
@@ -262,6 +261,12 @@
                                   ready ? "ready\n" : "not ready\n");
   }
 
+  Task<void> HandleMetrics(stream::ServerExchange& exchange) {
+    http::header<false> head = HeadWith(200);
+    head.set(http::field::content_type, "text/plain; version=0.0.4");
+    co_await exchange.RespondText(std::move(head), metrics_.ToPrometheusText());
+  }
+
   std::size_t Active() const {
     return callers_.active() + peer_server_.active();
   }
@@ -271,7 +276,7 @@
     while (true) {
       timer.expires_after(kTick);
       co_await timer.async_wait(stream::kAsTuple);
-      door_.Tick();
+      target_proxy_.Tick();
       rates_.Tick();
     }
   }
@@ -282,7 +287,7 @@
       timer.expires_after(kSlowTick);
       co_await timer.async_wait(stream::kAsTuple);
       peers_.CloseIdle();
-      door_.CloseIdle();
+      target_proxy_.CloseIdle();
     }
   }
 
@@ -341,7 +346,7 @@
   asio::io_context context_{1};
   observe::Metrics metrics_;
   Fleet fleet_;
-  TargetDoor door_;
+  TargetProxy target_proxy_;
   PeerClient peers_;
   RateGuard rates_;
   ControlLink link_;
@@ -350,6 +355,7 @@
   stream::Server peer_server_;
   stream::Server target_server_;
   stream::Server ready_server_;
+  std::optional<stream::Server> metrics_server_;
   asio::signal_set signals_;
 };
 
--- a/lib/relay/settings.cc
+++ b/lib/relay/settings.cc
@@ -16,6 +16,7 @@
   settings.target_listen = file.RequireAddress("relay.target_listen");
   settings.ready_listen = file.RequireAddress("relay.ready_listen");
   settings.peer_listen = file.RequireAddress("relay.peer_listen");
+  settings.metrics_listen = file.GetAddress("relay.metrics_listen");
   settings.seeds = file.GetAddresses("relay.seeds");
   support::SetPorts(settings.seeds,
                     file.GetInteger("relay.seed_peer_port", 0, 0, 65535));
--- a/lib/relay/target_door.cc
+++ b/lib/relay/target_proxy.cc
@@ -1,6 +1,6 @@
 // Admission of calls and their exchange with the own target.
 
-#include "target_door.h"
+#include "target_proxy.h"
 
 #include <algorithm>
 #include <charconv>
@@ -66,11 +66,11 @@
 
 }  // namespace
 
-TargetDoor::TargetDoor(stream::asio::io_context& context,
-                       const support::Clock& clock,
-                       const HeaderNames& names,
-                       milliseconds drain_time,
-                       observe::Metrics& metrics)
+TargetProxy::TargetProxy(stream::asio::io_context& context,
+                         const support::Clock& clock,
+                         const HeaderNames& names,
+                         milliseconds drain_time,
+                         observe::Metrics& metrics)
     : context_(context),
       clock_(clock),
       names_(names),
@@ -82,7 +82,7 @@
              .max_idle = kDefaultIdle,
              .max_idle_per_address = kMaxIdleConnections}) {}
 
-admission::Options TargetDoor::AdmissionOptions() const {
+admission::Options TargetProxy::AdmissionOptions() const {
   admission::Options options = InitialOptions();
   std::uint32_t slots = kAssumedSlots;
   if (const Announcement* announced = record_.announced();
@@ -101,7 +101,7 @@
   return options;
 }
 
-void TargetDoor::ApplyState() {
+void TargetProxy::ApplyState() {
   admission_.SetOptions(AdmissionOptions());
   admission_.SetColdUntil(std::max(record_.ColdUntil(), returned_cold_until_));
   admission::Admission::Decisions decisions;
@@ -124,7 +124,7 @@
   }
 }
 
-void TargetDoor::Announce(const Announcement& announcement) {
+void TargetProxy::Announce(const Announcement& announcement) {
   const auto change = record_.Apply(announcement);
   if (change == TargetRecord::Change::kIgnored) {
     support::LogInfo("target.announcement_ignored",
@@ -139,13 +139,13 @@
   ApplyState();
 }
 
-void TargetDoor::SetService(const wire::PolicyService* service) {
+void TargetProxy::SetService(const wire::PolicyService* service) {
   cold_per_second_ = service != nullptr ? service->cold_per_second() : 0;
   cold_time_ = milliseconds(service != nullptr ? service->cold_ms() : 0);
   ApplyState();
 }
 
-void TargetDoor::SetZoneOut(bool zone_out) {
+void TargetProxy::SetZoneOut(bool zone_out) {
   if (zone_out_ == zone_out)
     return;
   zone_out_ = zone_out;
@@ -155,21 +155,21 @@
   ApplyState();
 }
 
-void TargetDoor::Tick() {
+void TargetProxy::Tick() {
   ApplyState();
   admission::Admission::Decisions decisions;
   admission_.Tick(decisions);
   Carry(decisions);
 }
 
-wire::LoadReport TargetDoor::Load() const {
+wire::LoadReport TargetProxy::Load() const {
   wire::LoadReport load = admission_.Load();
   if (load.state() == wire::TARGET_STATE_UP)
     load.set_state(record_.State());
   return load;
 }
 
-void TargetDoor::Carry(const admission::Admission::Decisions& decisions) {
+void TargetProxy::Carry(const admission::Admission::Decisions& decisions) {
   for (const admission::Decision& decision : decisions) {
     if (decision.verdict == admission::Verdict::kWait)
       continue;
@@ -181,7 +181,8 @@
   }
 }
 
-Task<admission::Decision> TargetDoor::Admit(RelayCall& call, std::uint64_t id) {
+Task<admission::Decision> TargetProxy::Admit(RelayCall& call,
+                                             std::uint64_t id) {
   auto waiting = std::make_shared<Waiting>(context_);
   waiting_[id] = waiting;
   admission::Call arrival;
@@ -211,23 +212,23 @@
   co_return left;
 }
 
-CallResult TargetDoor::Refusal(const RelayCall& call,
-                               const admission::Decision& decision) const {
+CallResult TargetProxy::Refusal(const RelayCall& call,
+                                const admission::Decision& decision) const {
   CallResult refusal =
       CallResult::NotRun(admission::ReasonText(decision.reason));
   refusal.retry_after = kRetrySoon;
   refusal.load = Load();
-  metrics_.Count("yuccastair_door_refusals_total",
+  metrics_.Count("yuccastair_target_refusals_total",
                  {{"reason", refusal.reason}});
-  support::LogDebug("door.refused", {{"request", call.request_id},
-                                     {"reason", refusal.reason},
-                                     {"running", decision.running},
-                                     {"limit", decision.limit},
-                                     {"queued", decision.queued}});
+  support::LogDebug("target.refused", {{"request", call.request_id},
+                                       {"reason", refusal.reason},
+                                       {"running", decision.running},
+                                       {"limit", decision.limit},
+                                       {"queued", decision.queued}});
   return refusal;
 }
 
-Task<CallResult> TargetDoor::Run(RelayCall& call) {
+Task<CallResult> TargetProxy::Run(RelayCall& call) {
   const std::uint64_t id = next_id_++;
   const admission::Decision decision = co_await Admit(call, id);
   if (decision.verdict != admission::Verdict::kRun)
@@ -236,7 +237,7 @@
 }
 
 /// Returns whether the target may be sent a call as regards repeats.
-bool TargetDoor::CountArrival(const RelayCall& call) {
+bool TargetProxy::CountArrival(const RelayCall& call) {
   if (call.repeat)
     return repeats_.TakeRepeat();
   if (call.inherited_repeat)
@@ -246,7 +247,7 @@
   return true;
 }
 
-Task<CallResult> TargetDoor::RunAdmitted(RelayCall& call, std::uint64_t id) {
+Task<CallResult> TargetProxy::RunAdmitted(RelayCall& call, std::uint64_t id) {
   ExchangeEnd end = ExchangeEnd::kCancelled;
   CallResult result;
   if (call.cancellation.requested()) {
@@ -277,13 +278,13 @@
   co_return result;
 }
 
-void TargetDoor::Finish(std::uint64_t id, ExchangeEnd end) {
+void TargetProxy::Finish(std::uint64_t id, ExchangeEnd end) {
   admission::Admission::Decisions decisions;
   admission_.Finish(id, end, decisions);
   Carry(decisions);
 }
 
-http::header<true> TargetDoor::HeadFor(const RelayCall& call) const {
+http::header<true> TargetProxy::HeadFor(const RelayCall& call) const {
   http::header<true> head = call.head;
   head.set(names_.request_id, call.request_id);
   head.set(names_.deadline,
@@ -296,7 +297,7 @@
   return head;
 }
 
-Task<CallResult> TargetDoor::Exchange(RelayCall& call, ExchangeEnd& end) {
+Task<CallResult> TargetProxy::Exchange(RelayCall& call, ExchangeEnd& end) {
   const Announcement* announced = record_.announced();
   const std::string incarnation = record_.Incarnation();
   auto acquired = co_await pool_.Acquire(announced->address, call.deadline);
@@ -360,8 +361,8 @@
 }
 
 /// Decides from the header of an answer what has become of the request.
-CallResult TargetDoor::Judge(stream::ClientConnection& connection,
-                             ExchangeEnd& end) const {
+CallResult TargetProxy::Judge(stream::ClientConnection& connection,
+                              ExchangeEnd& end) const {
   const http::header<false>& head = connection.reader().head().base();
   const unsigned status = head.result_int();
   end = ExchangeEnd::kComplete;
@@ -393,7 +394,7 @@
 }
 
 /// A process that ends breaks all its connections at once.
-void TargetDoor::NoteBroken() {
+void TargetProxy::NoteBroken() {
   const auto kept = pool_.StateOf(record_.announced()->address);
   const bool all_closed = kept.open == 0 && kept.closed > 0;
   if (!all_closed && ++broken_in_a_row_ < kBrokenOfRestart)
--- a/lib/relay/target_door.h
+++ b/lib/relay/target_proxy.h
@@ -1,7 +1,7 @@
 // The one way to the own target: admission, the exchange and its outcome.
 
-#ifndef YUCCASTAIR_LIB_RELAY_TARGET_DOOR_H_
-#define YUCCASTAIR_LIB_RELAY_TARGET_DOOR_H_
+#ifndef YUCCASTAIR_LIB_RELAY_TARGET_PROXY_H_
+#define YUCCASTAIR_LIB_RELAY_TARGET_PROXY_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -23,16 +23,16 @@
 
 namespace yuccastair::relay {
 
-/// Runs calls on the own target. All load of a target passes its door, which
+/// Runs calls on the own target. All load of a target passes its proxy, which
 /// therefore holds the limits of the target exactly. Used on the thread of its
 /// io_context.
-class TargetDoor {
+class TargetProxy {
  public:
-  TargetDoor(stream::asio::io_context& context,
-             const support::Clock& clock,
-             const HeaderNames& names,
-             std::chrono::milliseconds drain_time,
-             observe::Metrics& metrics);
+  TargetProxy(stream::asio::io_context& context,
+              const support::Clock& clock,
+              const HeaderNames& names,
+              std::chrono::milliseconds drain_time,
+              observe::Metrics& metrics);
 
   /// Runs a call when its turn comes. The result is a target's whole or
   /// beginning answer, a refusal, or an unknown outcome.
@@ -109,4 +109,4 @@
 
 }  // namespace yuccastair::relay
 
-#endif  // YUCCASTAIR_LIB_RELAY_TARGET_DOOR_H_
+#endif  // YUCCASTAIR_LIB_RELAY_TARGET_PROXY_H_
--- a/lib/relay/target_record.cc
+++ b/lib/relay/target_record.cc
@@ -9,7 +9,7 @@
 
 constexpr std::size_t kMaxPastIds = 64;
 // How long a target that may have restarted is taken for cold. Targets announce
-// themselves every 1 to 2 s, so the next word comes before.
+// themselves every 1 to 2 s, so the next announcement comes before.
 constexpr std::chrono::milliseconds kSuspicionHolds{4000};
 
 }  // namespace
@@ -21,7 +21,7 @@
   if (announcement.target_id != latest_->target_id)
     return std::find(past_ids_.begin(), past_ids_.end(),
                      announcement.target_id) != past_ids_.end();
-  // A goodbye may carry no number.
+  // A deregistration may carry no number.
   if (announcement.state == AnnouncedState::kGone && announcement.sequence == 0)
     return false;
   return announcement.sequence <= latest_->sequence;
@@ -35,7 +35,8 @@
                     (latest_->started_ms == announcement.started_ms ||
                      announcement.started_ms == 0);
   if (gone) {
-    // The goodbye of a process that never announced itself concerns no target.
+    // The deregistration of a process that never announced itself concerns no
+    // target.
     if (!same)
       return Change::kIgnored;
     if (latest_->state == AnnouncedState::kReady)
@@ -44,7 +45,7 @@
     latest_->sequence = std::max(latest_->sequence, announcement.sequence);
     return Change::kUpdated;
   }
-  // A process that has said goodbye does not come back.
+  // A process that has deregistered does not come back.
   if (same && latest_->state == AnnouncedState::kGone)
     return Change::kIgnored;
   if (latest_ && latest_->target_id != announcement.target_id) {
@@ -57,6 +58,7 @@
     leaving_since_ = clock_.Now();
   const bool restarted = latest_.has_value() && !same;
   latest_ = announcement;
+  incarnation_ = latest_->target_id + "/" + std::to_string(latest_->started_ms);
   received_at_ = clock_.Now();
   refused_ = false;
   maybe_restarted_ = false;
@@ -95,10 +97,4 @@
   return received_at_ + latest_->cold_left;
 }
 
-std::string TargetRecord::Incarnation() const {
-  if (!latest_)
-    return "";
-  return latest_->target_id + "/" + std::to_string(latest_->started_ms);
-}
-
 }  // namespace yuccastair::relay
--- a/lib/relay/target_record.h
+++ b/lib/relay/target_record.h
@@ -57,7 +57,7 @@
   }
   /// Distinguishes the processes of the target; empty before the first
   /// announcement.
-  std::string Incarnation() const;
+  const std::string& Incarnation() const { return incarnation_; }
 
  private:
   bool IsOfPast(const Announcement& announcement) const;
@@ -66,6 +66,7 @@
   const std::chrono::milliseconds drain_time_;
   // The latest announcement; its id and start stay when the target is gone.
   std::optional<Announcement> latest_;
+  std::string incarnation_;
   support::TimePoint received_at_;
   support::TimePoint leaving_since_;
   bool refused_ = false;
--- a/lib/stream/body_source.cc
+++ b/lib/stream/body_source.cc
@@ -44,8 +44,11 @@
   if (source.whole()) {
     http::message<kIsRequest, http::string_body> message(std::move(head));
     message.keep_alive(keep_alive);
-    // The body stays with the source, which may have to send it again.
-    message.body() = source.begin;
+    // A request may have to be sent again, an answer never.
+    if constexpr (kIsRequest)
+      message.body() = source.begin;
+    else
+      message.body() = std::move(source.begin);
     if (source.length)
       message.content_length(*source.length);
     auto [error, bytes] = co_await http::async_write(stream, message, kAsTuple);
--- a/lib/stream/client.cc
+++ b/lib/stream/client.cc
@@ -2,22 +2,18 @@
 
 #include "yuccastair/stream/client.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
-#include <cerrno>
 #include <utility>
 
+#include "socket_state.h"
+
 namespace yuccastair::stream {
 namespace {
 
 /// Returns whether an idle connection can carry a request: the server has
 /// neither closed it nor sent anything that nobody asked for.
 bool IsQuiet(asio::ip::tcp::socket& socket) {
-  char byte = 0;
-  const auto got =
-      recv(socket.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
-  return got < 0 && errno == EAGAIN;
+  return StateOf(socket) == SocketState::kQuiet;
 }
 
 }  // namespace
--- a/lib/stream/server.cc
+++ b/lib/stream/server.cc
@@ -2,10 +2,9 @@
 
 #include "yuccastair/stream/server.h"
 
-#include <sys/socket.h>
-
 #include <utility>
 
+#include "socket_state.h"
 #include "yuccastair/support/error.h"
 #include "yuccastair/support/log.h"
 
@@ -25,14 +24,6 @@
   socket.set_option(asio::ip::tcp::no_delay(true), ignored);
 }
 
-/// Returns whether the peer has closed or reset the connection.
-bool IsGone(asio::ip::tcp::socket& socket) {
-  char byte = 0;
-  const auto got =
-      recv(socket.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
-  return got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR);
-}
-
 Task<void> Linger(beast::tcp_stream& stream) {
   ErrorCode ignored;  // The client may have closed the connection already.
   stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
@@ -108,13 +99,14 @@
   watcher_ = std::make_shared<Watcher>(Watcher{std::move(on_gone)});
   // The watcher outlives the exchange if the handler runs after its end.
   auto& socket = stream_.socket();
-  socket.async_wait(asio::ip::tcp::socket::wait_read,
-                    [watcher = watcher_, &socket](ErrorCode error) {
-                      // Bytes of a next request are no sign of an end.
-                      if (error || !watcher->on_gone || !IsGone(socket))
-                        return;
-                      std::exchange(watcher->on_gone, nullptr)();
-                    });
+  socket.async_wait(
+      asio::ip::tcp::socket::wait_read,
+      [watcher = watcher_, &socket](ErrorCode error) {
+        // Bytes of a next request are no sign of an end.
+        if (error || !watcher->on_gone || StateOf(socket) != SocketState::kGone)
+          return;
+        std::exchange(watcher->on_gone, nullptr)();
+      });
 }
 
 void ServerExchange::StopWatching() {
--- a/tools/yuccastair/main.cc
+++ b/tools/yuccastair/main.cc
@@ -29,8 +29,6 @@
 constexpr int kExitSuccess = 0;
 constexpr int kExitFailure = 1;
 constexpr int kExitUsage = 2;
-// Holds the path of the settings file where no option names it.
-constexpr const char* kConfigVariable = "YUCCASTAIR_CONFIG";
 
 constexpr const char* kUsage = R"(usage: yuccastair COMMAND [OPTION...]
 
@@ -199,15 +197,11 @@
     std::cout << options.help();
     return kExitSuccess;
   }
-  const char* environment = std::getenv(kConfigVariable);
-  if (parsed.count("config") == 0 && environment == nullptr) {
-    std::cerr << "yuccastair " << command << ": --config FILE or the variable "
-              << kConfigVariable << " is required\n";
+  if (parsed.count("config") == 0) {
+    std::cerr << "yuccastair " << command << ": --config FILE is required\n";
     return kExitUsage;
   }
-  const std::string path = parsed.count("config") > 0
-                               ? parsed["config"].as<std::string>()
-                               : std::string(environment);
+  const std::string path = parsed["config"].as<std::string>();
   if (command == "node")
     return RunNode(path);
   if (command == "relay")
--- /dev/null
+++ b/unittests/consensus/exploration.h
@@ -0,0 +1,121 @@
+// Runs a simulated cluster under random faults, seed by seed.
+
+#ifndef YUCCASTAIR_UNITTESTS_CONSENSUS_EXPLORATION_H_
+#define YUCCASTAIR_UNITTESTS_CONSENSUS_EXPLORATION_H_
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <functional>
+#include <string>
+
+#include "cluster_sim.h"
+
+namespace yuccastair::consensus {
+
+inline constexpr milliseconds kDisturbedTime{30000};
+// Simulated time, so that the limit does not depend on the machine.
+inline constexpr milliseconds kConvergenceLimit{60000};
+
+/// Options with which a few dozen commands cause snapshots, transfers in pieces
+/// and appends of single entries.
+inline CoreOptions SmallOptions() {
+  CoreOptions options;
+  options.snapshot_entries = 40;
+  options.retained_entries = 5;
+  options.snapshot_chunk_bytes = 40;
+  options.max_append_bytes = 30;
+  return options;
+}
+
+/// Makes one fault at process \p i, or heals the network. \p replacing adds
+/// processes that move to another address.
+inline void Disturb(ClusterSim& sim, int i, bool replacing) {
+  ClusterSim::Process& process = sim.at(i);
+  switch (sim.Below(replacing ? 9 : 8)) {
+    case 0:
+      if (process.core)
+        sim.CrashProcess(i, milliseconds(sim.Below(3000)));
+      break;
+    case 1:
+      process.crash_after = sim.Below(20);
+      break;
+    case 2:
+      process.paused_until = sim.now() + milliseconds(sim.Below(4000));
+      break;
+    case 3:
+      sim.Isolate(i, true);
+      break;
+    case 4:
+      sim.Cut(i, (i + 1) % sim.size(), true);
+      break;
+    case 5:
+      sim.disturbance = sim.Below(30);
+      break;
+    case 6:
+      if (sim.IsComplete())
+        sim.Wipe(i, milliseconds(sim.Below(3000)));
+      break;
+    case 7:
+      sim.HealAll();
+      break;
+    default:
+      if (sim.IsComplete())
+        sim.Replace(i, milliseconds(sim.Below(3000)));
+  }
+}
+
+/// Returns whether the leader can commit one more command.
+inline bool Commits(ClusterSim& sim) {
+  const std::size_t before = sim.history().acknowledged.back().second;
+  sim.Propose(sim.Leader());
+  return sim.RunUntil(kConvergenceLimit, [&] {
+    return sim.history().acknowledged.back().second > before;
+  });
+}
+
+/// Disturbs a cluster, and checks that it agrees and works afterwards. The
+/// simulation checks every step.
+inline void ExploreFaults(ClusterSim& sim, bool replacing) {
+  sim.disturbance = sim.Below(20);
+  while (sim.now() < kDisturbedTime) {
+    if (sim.Below(60) == 0)
+      Disturb(sim, sim.Below(sim.size()), replacing);
+    if (sim.Below(4) == 0)
+      sim.Propose(sim.Below(sim.size()));
+    sim.Step();
+  }
+  sim.HealAll();
+  sim.disturbance = 0;
+  for (int i = 0; i < sim.size(); ++i)
+    sim.at(i).crash_after = -1;
+  Require(sim.RunUntil(kConvergenceLimit, [&] { return sim.Converged(); }),
+          "the processes do not agree after the disturbance has ended");
+  Require(Commits(sim),
+          "nothing can be committed after the disturbance has ended");
+}
+
+/// Runs \p explore for seeds 1 to \p count. YUCCASTAIR_SEED runs one seed;
+/// YUCCASTAIR_SEEDS sets how many are run.
+inline void ExploreSeeds(int count,
+                         const std::string& program,
+                         const std::function<void(std::uint64_t)>& explore) {
+  std::uint64_t first = 1;
+  auto last = static_cast<std::uint64_t>(count);
+  if (const char* seeds = std::getenv("YUCCASTAIR_SEEDS"))
+    last = std::stoull(seeds);
+  if (const char* seed = std::getenv("YUCCASTAIR_SEED"))
+    first = last = std::stoull(seed);
+  for (std::uint64_t seed = first; seed <= last; ++seed) {
+    try {
+      explore(seed);
+    } catch (const Violation& violation) {
+      FAIL("seed " << seed << ": " << violation.what()
+                   << "\nrun again with YUCCASTAIR_SEED=" << seed
+                   << " build/unittests/" << program);
+    }
+  }
+}
+
+}  // namespace yuccastair::consensus
+
+#endif  // YUCCASTAIR_UNITTESTS_CONSENSUS_EXPLORATION_H_
--- a/unittests/platform/target_calls_test.cc
+++ b/unittests/platform/target_calls_test.cc
@@ -1,4 +1,4 @@
-// Heartbeats and farewells of the platform's servers.
+// Heartbeats and deregistrations of the platform's servers.
 
 #include "platform/target_calls.h"
 
@@ -26,15 +26,15 @@
       Decode("/yuccastair/Instances.Heartbeat/i-1", Heartbeat().dump());
   REQUIRE(call);
   REQUIRE(call->announcement);
-  const relay::Announcement& word = *call->announcement;
-  CHECK(word.target_id == "i-1");
-  CHECK(word.state == relay::AnnouncedState::kReady);
-  CHECK(word.started_ms == 1700000000123);
-  CHECK(word.sequence == 4);
-  CHECK(word.service == "s");
-  CHECK(word.address.ToString() == "10.1.0.9:8080");
-  CHECK(word.slots == 149);
-  CHECK(word.cold_left == std::chrono::milliseconds(1200));
+  const relay::Announcement& announcement = *call->announcement;
+  CHECK(announcement.target_id == "i-1");
+  CHECK(announcement.state == relay::AnnouncedState::kReady);
+  CHECK(announcement.started_ms == 1700000000123);
+  CHECK(announcement.sequence == 4);
+  CHECK(announcement.service == "s");
+  CHECK(announcement.address.ToString() == "10.1.0.9:8080");
+  CHECK(announcement.slots == 149);
+  CHECK(announcement.cold_left == std::chrono::milliseconds(1200));
 }
 
 // Guards against a heartbeat of another writer that names a server to use, or
@@ -60,7 +60,7 @@
   }
 }
 
-TEST_CASE("a farewell needs no body") {
+TEST_CASE("a deregistration needs no body") {
   const auto call = Decode("/yuccastair/Instances.Deregister/i-1", "");
   REQUIRE(call);
   REQUIRE(call->announcement);
--- a/unittests/policy/policy_table_test.cc
+++ b/unittests/policy/policy_table_test.cc
@@ -63,6 +63,26 @@
   CHECK(table.state().policy().source() == "a");
 }
 
+// Guards against rates of an earlier policy, and against keys and documents
+// that nodes have no use for on every sync.
+TEST_CASE("what is derived follows the policy") {
+  PolicyTable table;
+  wire::PolicyRequest request = Put(0, 4, "document");
+  wire::PolicyOrganisation* organisation =
+      request.mutable_put()->mutable_policy()->add_organisations();
+  organisation->set_name("org");
+  organisation->set_rate(5);
+  Apply(table, request);
+  REQUIRE(table.FindOrganisation("org") != nullptr);
+  CHECK(table.FindOrganisation("org")->rate() == 5);
+  wire::Policy for_nodes;
+  REQUIRE(for_nodes.ParseFromString(table.encoded()));
+  CHECK(for_nodes.version() == 4);
+  CHECK(for_nodes.source().empty());
+  Apply(table, Put(4, 5, "without"));
+  CHECK(table.FindOrganisation("org") == nullptr);
+}
+
 TEST_CASE("zones go out of service and come back once each") {
   PolicyTable table;
   CHECK(Apply(table, Zone("a", true)).status() == wire::POLICY_STATUS_DONE);
@@ -84,6 +104,7 @@
   PolicyTable restored;
   restored.RestoreSnapshot(table.TakeSnapshot());
   CHECK(restored.state().policy().source() == "b");
+  CHECK(restored.encoded() == table.encoded());
   CHECK(restored.state().zones_out(0) == "z");
   CHECK(Apply(restored, Put(0, 4, "a")).status() == wire::POLICY_STATUS_DONE);
 }
--- a/unittests/relay/fake_target.h
+++ b/unittests/relay/fake_target.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include <boost/asio/write.hpp>
+
 #include "yuccastair/stream/types.h"
 #include "yuccastair/support/address.h"
 
@@ -18,10 +20,15 @@
  public:
   enum class After { kKeep, kClose, kReset };
 
-  FakeTarget(stream::asio::io_context& context, std::string answer, After after)
+  /// \p id_header names the header that carries the id of a request.
+  FakeTarget(stream::asio::io_context& context,
+             std::string answer,
+             After after,
+             std::string id_header = "x-yuccastair-request-id: ")
       : acceptor_(context, {stream::asio::ip::make_address("127.0.0.1"), 0}),
         answer_(std::move(answer)),
-        after_(after) {
+        after_(after),
+        id_header_(std::move(id_header)) {
     stream::asio::co_spawn(context, Accept(context), stream::asio::detached);
   }
 
@@ -71,11 +78,10 @@
   }
 
   std::string AnswerTo(const std::string& head) const {
-    constexpr const char* kIdHeader = "x-yuccastair-request-id: ";
     std::string id;
-    const std::size_t at = head.find(kIdHeader);
+    const std::size_t at = head.find(id_header_);
     if (at != std::string::npos) {
-      const std::size_t begin = at + std::string(kIdHeader).size();
+      const std::size_t begin = at + id_header_.size();
       id = head.substr(begin, head.find("\r\n", begin) - begin);
     }
     std::string answer = answer_;
@@ -88,6 +94,7 @@
   stream::asio::ip::tcp::acceptor acceptor_;
   const std::string answer_;
   const After after_;
+  const std::string id_header_;
   std::vector<std::string> requests_;
 };
 
--- a/unittests/relay/target_door_test.cc
+++ b/unittests/relay/target_proxy_test.cc
@@ -1,7 +1,7 @@
 // What a relay says of a request, given what its target did. The contract with
 // targets, with faults in a table.
 
-#include "target_door.h"
+#include "target_proxy.h"
 
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
@@ -18,7 +18,7 @@
     "HTTP/1.1 200 OK\r\nx-yuccastair-request-id: {id}\r\n"
     "x-yuccastair-seal: s\r\n";
 
-class DoorFixture {
+class ProxyFixture {
  protected:
   void Announce(const FakeTarget& target, std::uint32_t slots = 10) {
     Announcement announcement;
@@ -27,7 +27,7 @@
     announcement.service = "s";
     announcement.address = target.address();
     announcement.slots = slots;
-    door_.Announce(announcement);
+    proxy_.Announce(announcement);
   }
 
   static void Fill(RelayCall& call, const std::string& id) {
@@ -51,7 +51,7 @@
     stream::asio::co_spawn(
         context_,
         [&]() -> stream::Task<void> {
-          result = co_await door_.Run(call);
+          result = co_await proxy_.Run(call);
           done = true;
         },
         stream::asio::detached);
@@ -70,7 +70,7 @@
   support::SteadyClock clock_;
   HeaderNames names_;
   observe::Metrics metrics_;
-  TargetDoor door_{context_, clock_, names_, 2000ms, metrics_};
+  TargetProxy proxy_{context_, clock_, names_, 2000ms, metrics_};
   std::uint64_t sequence_ = 0;
 };
 
@@ -84,7 +84,7 @@
 
 // Guards against answers of other requests, broken answers passed on as whole
 // ones, and refusals that say "not run" without proof.
-TEST_CASE_METHOD(DoorFixture, "the outcome follows from what the target did") {
+TEST_CASE_METHOD(ProxyFixture, "the outcome follows from what the target did") {
   const std::string head = kHead;
   const std::string body = "Content-Length: 4\r\n\r\nbody";
   const std::string refusal = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n";
@@ -156,7 +156,7 @@
 
 // Guards against a token of trust that callers can set: the target believes
 // these headers.
-TEST_CASE_METHOD(DoorFixture, "the target sees who asks and for how long") {
+TEST_CASE_METHOD(ProxyFixture, "the target sees who asks and for how long") {
   FakeTarget target(context_, std::string(kHead) + "Content-Length: 0\r\n\r\n",
                     After::kKeep);
   Announce(target);
@@ -173,7 +173,7 @@
 }
 
 // Guards against answers that stay on a connection for the next request.
-TEST_CASE_METHOD(DoorFixture, "bytes after an answer end its connection") {
+TEST_CASE_METHOD(ProxyFixture, "bytes after an answer end its connection") {
   const std::string answer =
       std::string(kHead) + "Content-Length: 4\r\n\r\nbody";
   FakeTarget target(context_, answer + answer, After::kKeep);
@@ -187,7 +187,7 @@
 }
 
 // Guards against requests to an address where no process listens.
-TEST_CASE_METHOD(DoorFixture, "a refused connection takes the target down") {
+TEST_CASE_METHOD(ProxyFixture, "a refused connection takes the target down") {
   FakeTarget target(context_, "", After::kClose);
   Announce(target);
   target.Close();
@@ -195,12 +195,12 @@
   const CallResult result = Run("id1");
   CHECK(result.outcome == wire::OUTCOME_NOT_RUN);
   CHECK_FALSE(result.reached_target);
-  CHECK(door_.record().State() == wire::TARGET_STATE_DOWN);
+  CHECK(proxy_.record().State() == wire::TARGET_STATE_DOWN);
   CHECK(Run("id2").outcome == wire::OUTCOME_NOT_RUN);
 }
 
 // Guards against work for a caller that has left before its turn.
-TEST_CASE_METHOD(DoorFixture,
+TEST_CASE_METHOD(ProxyFixture,
                  "a call whose caller has left reaches no target") {
   FakeTarget target(context_, std::string(kHead) + "Content-Length: 0\r\n\r\n",
                     After::kKeep);
@@ -214,7 +214,7 @@
 
 // Guards against a target that goes on working for a caller that left while the
 // body of the answer was on its way.
-TEST_CASE_METHOD(DoorFixture, "a caller that leaves ends the answer's body") {
+TEST_CASE_METHOD(ProxyFixture, "a caller that leaves ends the answer's body") {
   FakeTarget target(context_,
                     std::string(kHead) + "Content-Length: 9\r\n\r\nbody",
                     After::kKeep);
@@ -230,7 +230,7 @@
 }
 
 // Guards against a repeat budget that one relay after the other uses up.
-TEST_CASE_METHOD(DoorFixture,
+TEST_CASE_METHOD(ProxyFixture,
                  "repeats beyond the budget do not reach the target") {
   FakeTarget target(context_, std::string(kHead) + "Content-Length: 0\r\n\r\n",
                     After::kKeep);
--- a/unittests/relay/target_record_test.cc
+++ b/unittests/relay/target_record_test.cc
@@ -10,10 +10,10 @@
 using namespace std::chrono_literals;
 using Change = TargetRecord::Change;
 
-Announcement Word(const std::string& id,
-                  std::uint64_t started,
-                  std::uint64_t sequence,
-                  AnnouncedState state = AnnouncedState::kReady) {
+Announcement Announced(const std::string& id,
+                       std::uint64_t started,
+                       std::uint64_t sequence,
+                       AnnouncedState state = AnnouncedState::kReady) {
   Announcement announcement;
   announcement.target_id = id;
   announcement.started_ms = started;
@@ -29,92 +29,94 @@
   TargetRecord record_{clock_, 2000ms};
 };
 
-// Guards against a late word that brings a target back which is leaving.
+// Guards against a late announcement that brings back a target that is leaving.
 TEST_CASE_METHOD(RecordFixture, "a late announcement changes nothing") {
-  CHECK(record_.Apply(Word("a", 5, 1)) == Change::kUpdated);
-  CHECK(record_.Apply(Word("a", 5, 3, AnnouncedState::kDraining)) ==
+  CHECK(record_.Apply(Announced("a", 5, 1)) == Change::kUpdated);
+  CHECK(record_.Apply(Announced("a", 5, 3, AnnouncedState::kDraining)) ==
         Change::kUpdated);
-  CHECK(record_.Apply(Word("a", 5, 2)) == Change::kIgnored);
-  CHECK(record_.Apply(Word("a", 5, 3)) == Change::kIgnored);
+  CHECK(record_.Apply(Announced("a", 5, 2)) == Change::kIgnored);
+  CHECK(record_.Apply(Announced("a", 5, 3)) == Change::kIgnored);
   CHECK(record_.State() == wire::TARGET_STATE_DRAINING);
 }
 
-// Guards against the word of a process that has crashed, held up by the
+// Guards against the announcement of a process that has crashed, held up by the
 // network, in place of that of its successor at the same address.
-TEST_CASE_METHOD(RecordFixture, "a word of an earlier process names nothing") {
-  record_.Apply(Word("a", 5, 9));
-  CHECK(record_.Apply(Word("b", 7, 1)) == Change::kRestarted);
-  CHECK(record_.Apply(Word("a", 5, 10)) == Change::kIgnored);
+TEST_CASE_METHOD(RecordFixture,
+                 "an announcement of an earlier process is ignored") {
+  record_.Apply(Announced("a", 5, 9));
+  CHECK(record_.Apply(Announced("b", 7, 1)) == Change::kRestarted);
+  CHECK(record_.Apply(Announced("a", 5, 10)) == Change::kIgnored);
   CHECK(record_.announced()->target_id == "b");
 }
 
 TEST_CASE_METHOD(RecordFixture, "without a start the id tells the processes") {
-  record_.Apply(Word("a", 0, 9));
-  CHECK(record_.Apply(Word("b", 0, 1)) == Change::kRestarted);
-  CHECK(record_.Apply(Word("a", 0, 10)) == Change::kIgnored);
+  record_.Apply(Announced("a", 0, 9));
+  CHECK(record_.Apply(Announced("b", 0, 1)) == Change::kRestarted);
+  CHECK(record_.Apply(Announced("a", 0, 10)) == Change::kIgnored);
 }
 
 // Guards against a count of an earlier start: it begins anew.
 TEST_CASE_METHOD(RecordFixture,
                  "a restart under the same id is a new process") {
-  record_.Apply(Word("a", 5, 9));
-  CHECK(record_.Apply(Word("a", 8, 1)) == Change::kRestarted);
-  CHECK(record_.Apply(Word("a", 5, 10)) == Change::kIgnored);
+  record_.Apply(Announced("a", 5, 9));
+  CHECK(record_.Apply(Announced("a", 8, 1)) == Change::kRestarted);
+  CHECK(record_.Apply(Announced("a", 5, 10)) == Change::kIgnored);
 }
 
-TEST_CASE_METHOD(RecordFixture, "a goodbye ends its own process only") {
-  record_.Apply(Word("a", 5, 1));
-  CHECK(record_.Apply(Word("z", 0, 0, AnnouncedState::kGone)) ==
+TEST_CASE_METHOD(RecordFixture, "a deregistration ends its own process only") {
+  record_.Apply(Announced("a", 5, 1));
+  CHECK(record_.Apply(Announced("z", 0, 0, AnnouncedState::kGone)) ==
         Change::kIgnored);
-  CHECK(record_.Apply(Word("a", 4, 0, AnnouncedState::kGone)) ==
+  CHECK(record_.Apply(Announced("a", 4, 0, AnnouncedState::kGone)) ==
         Change::kIgnored);
-  CHECK(record_.Apply(Word("a", 5, 0, AnnouncedState::kGone)) ==
+  CHECK(record_.Apply(Announced("a", 5, 0, AnnouncedState::kGone)) ==
         Change::kUpdated);
   CHECK(record_.State() == wire::TARGET_STATE_LEAVING);
-  CHECK(record_.Apply(Word("a", 5, 7)) == Change::kIgnored);
+  CHECK(record_.Apply(Announced("a", 5, 7)) == Change::kIgnored);
 }
 
 // Guards against requests that reach a draining target after its drain time.
 TEST_CASE_METHOD(RecordFixture,
                  "a draining target takes requests for a while") {
-  record_.Apply(Word("a", 5, 1));
-  record_.Apply(Word("a", 5, 2, AnnouncedState::kDraining));
+  record_.Apply(Announced("a", 5, 1));
+  record_.Apply(Announced("a", 5, 2, AnnouncedState::kDraining));
   CHECK(record_.AcceptsRequests());
-  // Further words do not start the time anew.
+  // Further announcements do not start the time anew.
   clock_.Advance(900ms);
-  record_.Apply(Word("a", 5, 3, AnnouncedState::kDraining));
+  record_.Apply(Announced("a", 5, 3, AnnouncedState::kDraining));
   CHECK(record_.AcceptsRequests());
   clock_.Advance(200ms);
   CHECK_FALSE(record_.AcceptsRequests());
 }
 
 TEST_CASE_METHOD(RecordFixture, "cold time runs from the announcement") {
-  Announcement word = Word("a", 5, 1);
-  word.cold_left = 3000ms;
-  record_.Apply(word);
+  Announcement cold = Announced("a", 5, 1);
+  cold.cold_left = 3000ms;
+  record_.Apply(cold);
   CHECK(record_.State() == wire::TARGET_STATE_COLD);
   clock_.Advance(3000ms);
   CHECK(record_.State() == wire::TARGET_STATE_UP);
 }
 
-// Guards against full load on a target that has restarted between two words.
+// Guards against full load on a target that has restarted between two
+// announcements.
 TEST_CASE_METHOD(RecordFixture,
-                 "a suspected restart is cold until the next word") {
-  record_.Apply(Word("a", 5, 1));
+                 "a suspected restart is cold until the next announcement") {
+  record_.Apply(Announced("a", 5, 1));
   record_.NoteMaybeRestarted();
   CHECK(record_.State() == wire::TARGET_STATE_COLD);
-  record_.Apply(Word("a", 5, 2));
+  record_.Apply(Announced("a", 5, 2));
   CHECK(record_.State() == wire::TARGET_STATE_UP);
 }
 
 TEST_CASE_METHOD(RecordFixture,
-                 "a refused connection holds until the next word") {
+                 "a refused connection holds until the next announcement") {
   CHECK(record_.State() == wire::TARGET_STATE_DOWN);
-  record_.Apply(Word("a", 5, 1));
+  record_.Apply(Announced("a", 5, 1));
   record_.NoteRefused();
   CHECK(record_.State() == wire::TARGET_STATE_DOWN);
   CHECK_FALSE(record_.AcceptsRequests());
-  record_.Apply(Word("a", 5, 2));
+  record_.Apply(Announced("a", 5, 2));
   CHECK(record_.AcceptsRequests());
 }
 
