--- a/unittests/relay/rate_guard_test.cc
+++ b/unittests/relay/rate_guard_test.cc
@@ -55,10 +55,9 @@
   support::SteadyClock clock_;
   std::vector<wire::RateRequest> sent_;
   std::vector<bool> taken_;
-  RateGuard guard_{context_, clock_, "node", "incarnation",
-                   [this](const wire::RateRequest& request) {
-                     sent_.push_back(request);
-                   }};
+  RateGuard guard_{
+      context_, clock_, "node", "incarnation",
+      [this](const wire::RateRequest& request) { sent_.push_back(request); }};
 };
 
 // Guards against refusals within the rate: the first requests at a relay come
@@ -82,7 +81,8 @@
 
 // Guards against requests over the rate that are held for tokens that cannot
 // come in time.
-TEST_CASE_METHOD(GuardFixture, "over the rate most are refused without a wait") {
+TEST_CASE_METHOD(GuardFixture,
+                 "over the rate most are refused without a wait") {
   Ask(2);
   Grant(2, 500);
   REQUIRE(Count(true) == 2);
