Write the log to standard output from a thread of its own

Cause: the log went to standard error, and a process whose log nobody reads stood still with its next line, in the thread that serves requests.

Change: an asynchronous logger of spdlog with 1,024 waiting lines that drops the oldest ones; signals are blocked before its thread starts, since a control process that takes SIGHUP there ends with code 129. The tests that read a process's log collect both outputs. Also initializes a call in admission_test by name, since it has one more member.

--- a/include/yuccastair/support/log.h
+++ b/include/yuccastair/support/log.h
@@ -1,4 +1,4 @@
-// Structured logs: one JSON object a line on standard error.
+// Structured logs: one JSON object a line on standard output.
 
 #ifndef YUCCASTAIR_SUPPORT_LOG_H_
 #define YUCCASTAIR_SUPPORT_LOG_H_
@@ -12,10 +12,16 @@
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
 
 /// Sets the process-wide logger. \p role and \p instance appear in every line.
+/// A thread of its own writes the lines, so that no other one waits for a
+/// reader; the oldest lines are dropped if there are too many. Signals that the
+/// process waits for have to be blocked before.
 void InitLog(LogLevel level,
              const std::string& role,
              const std::string& instance);
 
+/// Writes the lines that wait and ends the logger.
+void ShutdownLog();
+
 /// Writes one line with the event name (dotted, fixed) and its fields.
 void Log(LogLevel level,
          std::string_view event,
--- a/lib/support/log.cc
+++ b/lib/support/log.cc
@@ -2,6 +2,7 @@
 
 #include "yuccastair/support/log.h"
 
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -24,9 +25,19 @@
   return spdlog::level::info;
 }
 
-std::shared_ptr<spdlog::logger>& Logger() {
-  static std::shared_ptr<spdlog::logger> logger;
-  return logger;
+// Lines that wait for the writer. A process writes some hundred lines a second
+// at most; the oldest ones are dropped when nobody reads them.
+constexpr std::size_t kWaitingLines = 1024;
+
+struct Writer {
+  // Owns the writing thread, so it ends after the logger.
+  std::shared_ptr<spdlog::details::thread_pool> thread;
+  std::shared_ptr<spdlog::logger> logger;
+};
+
+Writer& TheWriter() {
+  static Writer writer;
+  return writer;
 }
 
 }  // namespace
@@ -34,8 +45,12 @@
 void InitLog(LogLevel level,
              const std::string& role,
              const std::string& instance) {
-  auto sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
-  auto logger = std::make_shared<spdlog::logger>("yuccastair", sink);
+  auto sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
+  auto thread =
+      std::make_shared<spdlog::details::thread_pool>(kWaitingLines, 1);
+  auto logger = std::make_shared<spdlog::async_logger>(
+      "yuccastair", sink, thread,
+      spdlog::async_overflow_policy::overrun_oldest);
   const nlohmann::json names = {{"role", role}, {"instance", instance}};
   std::string prefix = names.dump();
   prefix.pop_back();
@@ -43,12 +58,17 @@
                           prefix.substr(1) + ",%v}",
                       spdlog::pattern_time_type::utc);
   logger->set_level(ToSpdlog(level));
-  logger->flush_on(spdlog::level::warn);
-  Logger() = std::move(logger);
+  ShutdownLog();
+  TheWriter() = {std::move(thread), std::move(logger)};
+}
+
+void ShutdownLog() {
+  TheWriter().logger.reset();
+  TheWriter().thread.reset();
 }
 
 void Log(LogLevel level, std::string_view event, const nlohmann::json& fields) {
-  auto& logger = Logger();
+  const auto& logger = TheWriter().logger;
   if (!logger || !logger->should_log(ToSpdlog(level)))
     return;
   nlohmann::json line = fields;
--- a/tools/yuccastair/main.cc
+++ b/tools/yuccastair/main.cc
@@ -81,8 +81,8 @@
   node::Settings settings = node::ReadSettings(file);
   if (!ReportFaults(file))
     return kExitUsage;
-  support::InitLog(support::LogLevel::kInfo, "node", settings.id);
   const sigset_t signals = BlockStopSignals();
+  support::InitLog(support::LogLevel::kInfo, "node", settings.id);
   node::Node node(std::move(settings));
   WaitForStop(signals, [] {
     support::LogWarning("settings.unchanged",
@@ -137,8 +137,8 @@
   auto settings = ReadControl(path);
   if (!settings)
     return kExitUsage;
-  support::InitLog(support::LogLevel::kInfo, "control", settings->id);
   const sigset_t signals = BlockStopSignals();
+  support::InitLog(support::LogLevel::kInfo, "control", settings->id);
   const auto policy_listen = settings->policy_listen;
   control::Control control(std::move(*settings));
   std::optional<platform::OperatorFront> front;
--- a/unittests/admission/admission_test.cc
+++ b/unittests/admission/admission_test.cc
@@ -31,8 +31,13 @@
                   milliseconds deadline = milliseconds(1000),
                   wire::Importance importance = wire::IMPORTANCE_NORMAL) {
     decisions_.clear();
-    admission_.Arrive({id, "a", "r", importance, 1, clock_.Now() + deadline},
-                      decisions_);
+    Call call;
+    call.id = id;
+    call.organisation = "a";
+    call.route = "r";
+    call.importance = importance;
+    call.deadline = clock_.Now() + deadline;
+    admission_.Arrive(call, decisions_);
     return decisions_.back();
   }
   void Finish(std::uint64_t id, ExchangeEnd end = ExchangeEnd::kComplete) {
--- a/unittests/ctl/fleet_test.cc
+++ b/unittests/ctl/fleet_test.cc
@@ -128,20 +128,20 @@
 }
 
 /// Sends standard error to a file while it lives.
-class StandardErrorFile {
+class StandardOutputFile {
  public:
-  explicit StandardErrorFile(std::string path)
-      : path_(std::move(path)), saved_(dup(STDERR_FILENO)) {
+  explicit StandardOutputFile(std::string path)
+      : path_(std::move(path)), saved_(dup(STDOUT_FILENO)) {
     FILE* file = fopen(path_.c_str(), "w");
-    dup2(fileno(file), STDERR_FILENO);
+    dup2(fileno(file), STDOUT_FILENO);
     fclose(file);
   }
-  ~StandardErrorFile() {
-    dup2(saved_, STDERR_FILENO);
+  ~StandardOutputFile() {
+    dup2(saved_, STDOUT_FILENO);
     close(saved_);
   }
-  StandardErrorFile(const StandardErrorFile&) = delete;
-  StandardErrorFile& operator=(const StandardErrorFile&) = delete;
+  StandardOutputFile(const StandardOutputFile&) = delete;
+  StandardOutputFile& operator=(const StandardOutputFile&) = delete;
 
   std::string Text() const {
     std::ifstream in(path_);
@@ -157,7 +157,7 @@
 // at a node that has not synced, and against one that leaks.
 TEST_CASE("a key works from its issue to its revocation and is never shown") {
   const TemporaryDir dir;
-  const StandardErrorFile log((dir.path() / "log").string());
+  const StandardOutputFile log((dir.path() / "log").string());
   support::InitLog(support::LogLevel::kDebug, "test", "t1");
   const Target target;
   RunningControl control(26300);
@@ -198,6 +198,7 @@
 
   CHECK(target.headers().find("acme.") == std::string::npos);
   CHECK(target.headers().find(key.substr(5)) == std::string::npos);
+  support::ShutdownLog();
   CHECK(log.Text().find("settings.applied") != std::string::npos);
   CHECK(log.Text().find(key.substr(5)) == std::string::npos);
 }
--- a/unittests/processes/control_cluster.h
+++ b/unittests/processes/control_cluster.h
@@ -116,7 +116,7 @@
 
   /// Starts a process; a \p file_limit in bytes makes larger writes fail.
   void Start(int i, rlim_t file_limit = RLIM_INFINITY) {
-    const std::string log = DataDir(i) + ".stderr";
+    const std::string log = DataDir(i) + ".log";
     const pid_t child = fork();
     if (child == 0) {
       if (file_limit != RLIM_INFINITY) {
@@ -126,6 +126,8 @@
       }
       const int out =
           open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+      // Log lines, and what is said before there is a log.
+      dup2(out, STDOUT_FILENO);
       dup2(out, STDERR_FILENO);
       execl(YUCCASTAIR_BINARY, "yuccastair", "control", "--config",
             configs_[Index(i)].c_str(), nullptr);
@@ -150,7 +152,7 @@
   }
   void DeleteData(int i) { std::filesystem::remove_all(DataDir(i)); }
   std::string ErrorText(int i) const {
-    std::ifstream file(DataDir(i) + ".stderr");
+    std::ifstream file(DataDir(i) + ".log");
     return {std::istreambuf_iterator<char>(file), {}};
   }
 
