Explain a request from the logs with ctl explain

Cause: ctl explain was missing; on-call engineers had to collect the lines of several processes by hand.

A golden session covers an overload, a rate, a failed call, an unknown id and unreadable files.

Ruled out: asking the relays (they keep no records of requests, and the one that is asked about is often gone).

--- a/lib/ctl/command.h
+++ b/lib/ctl/command.h
@@ -136,6 +136,8 @@
 int RunRouteList(const Session& session);
 int RunServiceList(const Session& session);
 int RunZoneList(const Session& session);
+// explain.cc
+int RunExplain(const Session& session);
 // reference.cc
 int RunReference(const Session& session);
 
--- a/lib/ctl/ctl.cc
+++ b/lib/ctl/ctl.cc
@@ -144,8 +144,8 @@
   const std::uint64_t timeout =
       ParseNumber(arguments.Get("timeout-ms", "5000"), "--timeout-ms");
   std::vector<support::Address> controls;
-  // The reference is part of the program and needs no control process.
-  if (command->run != RunReference)
+  // The reference is part of the program, and logs are files.
+  if (command->run != RunReference && command->run != RunExplain)
     controls = ParseControls(arguments.Get("control"));
   ControlClient client(std::move(controls), std::chrono::milliseconds(timeout));
   return command->run(Session(environment, arguments, client));
--- a/unittests/ctl/sessions_test.cc
+++ b/unittests/ctl/sessions_test.cc
@@ -87,6 +87,7 @@
       {"organisations.txt", 26110},
       {"apply.txt", 26120},
       {"usage.txt", 26130},
+      {"explain.txt", 26140},
   }));
   CAPTURE(name);
   const RunningControl control(port);
