Accept waiting connections together and drop requests of gone callers

Connections waited in the listen queue, since one was accepted in each round of the loop and each round serves all others; near the processor limit that is a few dozen a second. The end of a caller's connection is one more event that waits, so the request was sent on all the same.

Change: the server accepts up to 64 waiting connections at a time. The caller's connection is asked once more before a token is taken and before a call is sent on. A caller that leaves after a long body is noticed. A relay whose tick is 100 ms late says so.

--- a/benchmarks/http_connections.cc
+++ b/benchmarks/http_connections.cc
@@ -3,7 +3,7 @@
 //
 //   http_connections [CONNECTIONS] [BACKLOG]
 //
-// With BACKLOG, for example the 5 of cxxtools, the raised one is undone.
+// BACKLOG replaces the backlog of the server.
 
 #include <netinet/in.h>
 #include <signal.h>
--- a/include/yuccastair/http/server.h
+++ b/include/yuccastair/http/server.h
@@ -1,4 +1,4 @@
-// Serves HTTP/1.1 on one address through the cxxtools server.
+// Serves HTTP/1.1 on one address with blocking handlers.
 
 #ifndef YUCCASTAIR_HTTP_SERVER_H_
 #define YUCCASTAIR_HTTP_SERVER_H_
@@ -13,14 +13,10 @@
 
 namespace yuccastair::http {
 
-/// An HTTP server that calls a blocking handler on a thread of its own for each
-/// request.
-///
-/// A cxxtools thread stays with its connection while requests keep coming, and
-/// past its thread maximum the library queues connections without order or
-/// bound. So there are more threads than requests in flight: a request beyond
-/// Options::max_in_flight is answered by Options::on_overload at once and its
-/// connection is closed, which frees the thread.
+/// An HTTP server that calls a blocking handler on one of
+/// Options::max_in_flight threads for each request. A request beyond them is
+/// refused at once and its connection closed. Connections without a request in
+/// a handler hold no thread.
 class Server {
  public:
   using Handler = std::function<Response(const Request&)>;
@@ -28,9 +24,10 @@
   struct Options {
     support::Address listen;
     std::size_t max_in_flight = 512;
-    std::size_t reserve_threads = 64;
     std::size_t max_body_bytes = std::size_t{1} << 20;
+    /// Longest pause between two requests, and between two pieces of a body.
     std::chrono::milliseconds keep_alive_timeout{15000};
+    /// From the first byte of a header to its last one.
     std::chrono::milliseconds read_timeout{5000};
     Handler on_request;
     /// Must not block. \p status is 503 for overload and 413 for a body over
--- a/include/yuccastair/stream/client.h
+++ b/include/yuccastair/stream/client.h
@@ -35,6 +35,11 @@
   MessageReader<false>& reader() { return reader_; }
   /// Ends the operation under way, if any, with an error.
   void Close();
+  /// Whether the connection is open and nothing is there to be read.
+  bool IsQuiet();
+  /// Whether the server has closed or reset the connection. False while there
+  /// are bytes to be read.
+  bool IsGone();
   /// Whether nothing is left over after the message that was read last.
   bool IsClean() const { return buffer_.size() == 0; }
 
--- a/include/yuccastair/stream/server.h
+++ b/include/yuccastair/stream/server.h
@@ -45,6 +45,9 @@
   /// before StopWatching(). To be used while no body is read.
   void Watch(std::function<void()> on_gone);
   void StopWatching();
+  /// Whether the client has closed or reset its connection. To be asked before
+  /// the answer and while no body is read.
+  bool IsClientGone();
 
   /// Sends the answer. Writes of an answer that has begun end when the client
   /// reads nothing for the idle timeout.
@@ -101,6 +104,7 @@
 
  private:
   Task<void> Accept();
+  ErrorCode AcceptWaiting();
   Task<void> Serve(asio::ip::tcp::socket socket);
   Task<bool> ServeOne(beast::tcp_stream& stream, beast::flat_buffer& buffer);
 
--- a/lib/control/control.cc
+++ b/lib/control/control.cc
@@ -194,7 +194,6 @@
     http::Server::Options options;
     options.listen = settings_.operator_listen;
     options.max_in_flight = kOperatorRequests;
-    options.reserve_threads = kOperatorRequests;
     options.max_body_bytes = kMaxChangeBytes;
     options.on_request = [this](const http::Request& request) {
       return operator_api_.Handle(request);
--- a/lib/http/server.cc
+++ b/lib/http/server.cc
@@ -1,96 +1,76 @@
-// The cxxtools server, its responder and its event loop thread.
+// Hands the requests of the event-driven server to threads with blocking
+// handlers.
 
 #include "yuccastair/http/server.h"
 
-#include <cxxtools/eventloop.h>
-#include <cxxtools/http/reply.h>
-#include <cxxtools/http/request.h>
-#include <cxxtools/http/responder.h>
-#include <cxxtools/http/server.h>
-#include <cxxtools/http/service.h>
-#include <cxxtools/net/tcpsocket.h>
-#include <cxxtools/regex.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/resource.h>
-#include <sys/socket.h>
-
 #include <algorithm>
-#include <array>
 #include <atomic>
-#include <istream>
-#include <optional>
-#include <ostream>
-#include <stdexcept>
+#include <boost/asio/post.hpp>
+#include <memory>
 #include <string>
 #include <thread>
 #include <utility>
+#include <vector>
 
-#include "framing.h"
-#include "yuccastair/support/error.h"
+#include "yuccastair/stream/server.h"
+#include "yuccastair/support/bounded_ring.h"
+#include "yuccastair/support/clock.h"
 #include "yuccastair/support/log.h"
 
 namespace yuccastair::http {
 namespace {
 
-// cxxtools listens with a backlog of 5, at which hundreds of simultaneous
-// connects wait for repeated SYNs, seconds in the worst case.
-constexpr int kListenBacklog = 1024;
-constexpr std::size_t kReadSize = 8192;
-// Room for the headers that the library adds: Content-Length, Server,
-// Connection and Date.
-constexpr std::size_t kLibraryHeaderBytes = 256;
-constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
-constexpr rlim_t kMaxScannedDescriptors = 4096;
+namespace beast_http = stream::http;
+using stream::Task;
 
-/// Raises the backlog of the socket that listens on \p port.
-///
-/// cxxtools does not show its listening socket, so it is found among the
-/// descriptors of the process; listen() on a listening socket sets its backlog.
-void RaiseBacklog(std::uint16_t port) {
-  for (int fd = 0; fd < static_cast<int>(kMaxScannedDescriptors); ++fd) {
-    int listening = 0;
-    socklen_t size = sizeof listening;
-    if (getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listening, &size) != 0 ||
-        listening == 0)
-      continue;
-    sockaddr_in name{};
-    socklen_t name_size = sizeof name;
-    if (getsockname(fd, reinterpret_cast<sockaddr*>(&name), &name_size) == 0 &&
-        ntohs(name.sin_port) == port)
-      listen(fd, kListenBacklog);
-  }
+// How long a thread without work waits before it looks again.
+constexpr std::chrono::milliseconds kIdleWait{1000};
+
+stream::ServerLimits LimitsOf(const Server::Options& options) {
+  stream::ServerLimits limits;
+  limits.max_body_bytes = options.max_body_bytes;
+  limits.header_timeout = options.read_timeout;
+  limits.idle_timeout = options.keep_alive_timeout;
+  return limits;
 }
 
-bool PeerClosed(int fd) {
-  char byte = 0;
-  return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+std::string ToText(boost::beast::string_view text) {
+  return {text.data(), text.size()};
 }
 
-/// Returns whether the headers fit into those of cxxtools, which throws in the
-/// middle of the response otherwise.
-bool HeadersFit(const Response& response) {
-  std::size_t size = kLibraryHeaderBytes;
-  for (const Header& header : response.headers)
-    size += header.name.size() + header.value.size() + 2;
-  return size <= cxxtools::http::MessageHeader::MAXHEADERSIZE;
+/// Reads the rest of a body, which the server bounds.
+Task<stream::ErrorCode> ReadRest(stream::BodySource& body) {
+  bool done = body.whole();
+  while (!done) {
+    const stream::ErrorCode error = co_await body.more(body.begin, done);
+    if (error)
+      co_return error;
+  }
+  co_return stream::ErrorCode();
 }
 
-bool HasNoBody(const std::string& method, int status) {
-  return method == "HEAD" || status == 204 || status == 304;
+/// An answer to HEAD keeps the length that the handler states.
+bool StatesLength(const Response& response) {
+  return !FindHeader(response.headers, "Content-Length").empty();
 }
 
-const char* ReasonPhrase(int status) {
-  switch (status / 100) {
-    case 2:
-      return "OK";
-    case 4:
-      return "Client Error";
-    case 5:
-      return "Server Error";
-    default:
-      return "Other";
+Task<void> Deliver(stream::ServerExchange& exchange, Response response) {
+  beast_http::header<false> head;
+  head.result(static_cast<unsigned>(response.status));
+  const bool is_head = exchange.is_head();
+  const bool bodiless = response.status == 204 || response.status == 304;
+  for (const Header& header : response.headers) {
+    if (is_head || !SameName(header.name, "Content-Length"))
+      head.insert(header.name, header.value);
   }
+  if (response.close_connection)
+    exchange.CloseAfterAnswer();
+  stream::BodySource body;
+  if (!bodiless && !(is_head && StatesLength(response)))
+    body.length = response.body.size();
+  if (!bodiless && !is_head)
+    body.begin = std::move(response.body);
+  co_await exchange.Respond(std::move(head), body);
 }
 
 }  // namespace
@@ -98,197 +78,109 @@
 class Server::Impl {
  public:
   explicit Impl(Options options)
-      : options_(std::move(options)), server_(loop_), service_(*this) {
-    server_.maxThreads(static_cast<unsigned>(options_.max_in_flight +
-                                             options_.reserve_threads));
-    server_.keepAliveTimeout(cxxtools::Milliseconds(
-        static_cast<double>(options_.keep_alive_timeout.count())));
-    server_.readTimeout(cxxtools::Milliseconds(
-        static_cast<double>(options_.read_timeout.count())));
-    try {
-      server_.listen(options_.listen.host, options_.listen.port);
-    } catch (const std::exception& error) {
-      throw support::Error("listen", options_.listen.ToString(), error.what());
-    }
-    RaiseBacklog(options_.listen.port);
-    server_.addService(cxxtools::Regex(".*"), service_);
-    thread_ = std::thread([this] { loop_.run(); });
+      : options_(std::move(options)),
+        jobs_(options_.max_in_flight),
+        server_(context_,
+                options_.listen,
+                [this](stream::ServerExchange& exchange) {
+                  return Serve(exchange);
+                }) {
+    server_.SetLimits(LimitsOf(options_));
+    loop_ = std::thread([this] { context_.run(); });
   }
 
   ~Impl() {
-    loop_.exit();
-    thread_.join();
+    context_.stop();
+    loop_.join();
+    jobs_.Close();
+    for (std::thread& handler : handlers_)
+      handler.join();
   }
 
   std::size_t in_flight() const { return in_flight_; }
 
  private:
-  class Responder : public cxxtools::http::Responder {
-   public:
-    Responder(cxxtools::http::Service& service, Impl& impl)
-        : cxxtools::http::Responder(service), impl_(impl) {}
-
-    void beginRequest(cxxtools::net::TcpSocket& socket,
-                      std::istream& in,
-                      cxxtools::http::Request& request) override {
-      cxxtools::http::Responder::beginRequest(socket, in, request);
-      fd_ = socket.getFd();
-      body_.clear();
-      const int on = 1;
-      setsockopt(fd_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-      // Bounds the reads and writes that block; cxxtools waits without end.
-      socket.setTimeout(cxxtools::Milliseconds(
-          static_cast<double>(impl_.options_.read_timeout.count())));
-      framing_ = FramingOf(request.header());
-      body_left_ = framing_.length;
-      status_ = framing_.status;
-      // Leads to replyError() at once, without waiting for a body whose end is
-      // not known.
-      if (status_ != 0)
-        throw std::runtime_error("malformed request");
-      if (framing_.wants_continue)
-        send(fd_, kContinue, sizeof kContinue - 1, MSG_NOSIGNAL);
-      if (framing_.chunked && !ReadChunks(in))
-        throw std::runtime_error("malformed chunked body");
-    }
+  /// A request in its handler.
+  struct Job {
+    explicit Job(stream::asio::io_context& context)
+        : finished(context, support::TimePoint::max()) {}
 
-    // Called for a header that cxxtools cannot parse and for what this class
-    // throws; never after the handler has run.
-    void replyError(std::ostream& out,
-                    cxxtools::http::Request& request,
-                    cxxtools::http::Reply& reply,
-                    const std::exception& /*error*/) override {
-      status_ = status_ == 0 ? 400 : status_;
-      this->reply(out, request, reply);
-    }
-
-    // cxxtools hands over all that it has read, which may go beyond this
-    // request to the next one on the connection.
-    std::size_t readBody(std::istream& in) override {
-      std::size_t total = 0;
-      while (body_left_ > 0 && in.rdbuf()->in_avail() > 0) {
-        std::array<char, kReadSize> buffer;
-        const auto count = in.readsome(
-            buffer.data(),
-            static_cast<std::streamsize>(std::min(buffer.size(), body_left_)));
-        if (count <= 0)
-          break;
-        total += static_cast<std::size_t>(count);
-        body_left_ -= static_cast<std::size_t>(count);
-        Append(buffer.data(), static_cast<std::size_t>(count));
-      }
-      return total;
-    }
-
-    void reply(std::ostream& out,
-               cxxtools::http::Request& request,
-               cxxtools::http::Reply& reply) override {
-      Request converted;
-      converted.method = request.method();
-      converted.path = request.header().query();
-      for (const auto& [name, value] : request.header())
-        converted.headers.push_back({name, value});
-      converted.body = std::move(body_);
-      converted.caller_gone = [fd = fd_] { return PeerClosed(fd); };
-      Response response = impl_.Handle(converted, status_);
-      if (!HeadersFit(response)) {
-        support::LogError("http.response_headers_too_large",
-                          {{"path", converted.path}});
-        response = impl_.Refuse(converted, 502);
-      }
-      reply.httpReturn(static_cast<unsigned>(response.status),
-                       ReasonPhrase(response.status));
-      for (const Header& header : response.headers)
-        reply.addHeader(header.name.c_str(), header.value.c_str());
-      if (response.close_connection)
-        reply.setHeader("Connection", "close");
-      if (HasNoBody(converted.method, response.status))
-        return;
-      out << response.body;
-    }
+    Request request;
+    Response response;
+    std::atomic<bool> caller_gone = false;
+    // Cancelled when the response is there.
+    stream::asio::steady_timer finished;
+  };
 
-   private:
-    void Append(const char* data, std::size_t count) {
-      if (body_.size() + count > impl_.options_.max_body_bytes) {
-        status_ = 413;
-        body_.clear();
+  Task<void> Serve(stream::ServerExchange& exchange) {
+    const auto job = std::make_shared<Job>(context_);
+    Request& request = job->request;
+    const auto& head = exchange.head();
+    request.method = ToText(head.method_string());
+    request.path = ToText(head.target());
+    for (const auto& field : head)
+      request.headers.push_back(
+          {ToText(field.name_string()), ToText(field.value())});
+    stream::BodySource body;
+    stream::ErrorCode error = co_await exchange.ReadBody(body);
+    if (!error)
+      error = co_await ReadRest(body);
+    if (error) {
+      if (!exchange.body_too_large()) {
+        exchange.Abort();
+        co_return;
       }
-      if (status_ == 0)
-        body_.append(data, count);
+      Response refusal = Refuse(request, 413);
+      co_await Deliver(exchange, std::move(refusal));
+      co_return;
     }
-
-    /// Reads a chunked body, which cxxtools would take for the next request.
-    bool ReadChunks(std::istream& in) {
-      std::string line;
-      while (ReadLine(in, line)) {
-        const std::optional<std::size_t> size = ParseChunkSize(line);
-        if (!size)
-          break;
-        if (*size == 0) {
-          // Trailer fields are read and dropped.
-          while (ReadLine(in, line) && !line.empty()) {
-          }
-          if (!in)
-            break;
-          return true;
-        }
-        if (*size > impl_.options_.max_body_bytes - body_.size()) {
-          status_ = 413;
-          return false;
-        }
-        const std::size_t start = body_.size();
-        body_.resize(start + *size);
-        if (!in.read(body_.data() + start,
-                     static_cast<std::streamsize>(*size)) ||
-            !ReadLine(in, line) || !line.empty())
-          break;
-      }
-      status_ = 400;
-      return false;
+    request.body = std::move(body.begin);
+    if (in_flight_ >= options_.max_in_flight) {
+      Response refusal = Refuse(request, 503);
+      co_await Deliver(exchange, std::move(refusal));
+      co_return;
     }
+    co_await Handle(exchange, job);
+    Response response = std::move(job->response);
+    co_await Deliver(exchange, std::move(response));
+  }
 
-    Impl& impl_;
-    int fd_ = -1;
-    Framing framing_;
-    std::string body_;
-    std::size_t body_left_ = 0;
-    // Status with which the request is refused, or 0.
-    int status_ = 0;
-  };
-
-  class Service : public cxxtools::http::Service {
-   public:
-    explicit Service(Impl& impl) : impl_(impl) {}
+  Task<void> Handle(stream::ServerExchange& exchange,
+                    const std::shared_ptr<Job>& job) {
+    // Handlers may outlive the exchange, but not the job.
+    job->request.caller_gone = [weak = std::weak_ptr<Job>(job)] {
+      const auto held = weak.lock();
+      return !held || held->caller_gone;
+    };
+    exchange.Watch([job] { job->caller_gone = true; });
+    // With a thread for each request in flight none waits for another.
+    if (++in_flight_ > handlers_.size())
+      handlers_.emplace_back([this] { RunHandlers(); });
+    // There is room for all that may be in flight.
+    jobs_.TryPush(std::shared_ptr<Job>(job));
+    co_await job->finished.async_wait(stream::kAsTuple);
+  }
 
-   private:
-    cxxtools::http::Responder* createResponder(
-        const cxxtools::http::Request&) override {
-      return new Responder(*this, impl_);
-    }
-    void releaseResponder(cxxtools::http::Responder* responder) override {
-      delete responder;
+  void RunHandlers() {
+    while (!jobs_.closed()) {
+      const auto job = jobs_.Pop(kIdleWait);
+      if (!job)
+        continue;
+      RunHandler(**job);
+      --in_flight_;
+      stream::asio::post(context_,
+                         [finished = *job] { finished->finished.cancel(); });
     }
+  }
 
-    Impl& impl_;
-  };
-
-  Response Handle(const Request& request, int refused_status) {
-    if (refused_status != 0)
-      return Refuse(request, refused_status);
-    const std::size_t running = ++in_flight_;
-    Response response;
-    if (running > options_.max_in_flight) {
-      response = Refuse(request, 503);
-    } else {
-      try {
-        response = options_.on_request(request);
-      } catch (const std::exception& error) {
-        support::LogError("http.handler_failed", {{"error", error.what()}});
-        response = Refuse(request, 500);
-      }
+  void RunHandler(Job& job) const {
+    try {
+      job.response = options_.on_request(job.request);
+    } catch (const std::exception& error) {
+      support::LogError("http.handler_failed",
+                        {{"path", job.request.path}, {"error", error.what()}});
+      job.response = Refuse(job.request, 500);
     }
-    --in_flight_;
-    return response;
   }
 
   Response Refuse(const Request& request, int status) const {
@@ -298,11 +190,13 @@
   }
 
   const Options options_;
-  cxxtools::EventLoop loop_;
-  cxxtools::http::Server server_;
-  Service service_;
   std::atomic<std::size_t> in_flight_ = 0;
-  std::thread thread_;
+  support::BoundedRing<std::shared_ptr<Job>> jobs_;
+  stream::asio::io_context context_{1};
+  stream::Server server_;
+  // Used on the loop's thread only, and after its end.
+  std::vector<std::thread> handlers_;
+  std::thread loop_;
 };
 
 Server::Server(Options options)
--- a/lib/relay/call.h
+++ b/lib/relay/call.h
@@ -21,6 +21,18 @@
  public:
   bool requested() const { return requested_; }
 
+  /// \p probe tells whether the caller has left. Used by Check(), so it stays
+  /// valid until the call has ended.
+  void SetProbe(std::function<bool()> probe) { probe_ = std::move(probe); }
+
+  /// Asks whether the caller has left. A relay under load may still have to
+  /// handle the event that says so when it is about to send the call on.
+  bool Check() {
+    if (!requested_ && probe_ && probe_())
+      Request();
+    return requested_;
+  }
+
   void Request() {
     requested_ = true;
     if (hook_)
@@ -40,6 +52,7 @@
  private:
   bool requested_ = false;
   std::function<void()> hook_;
+  std::function<bool()> probe_;
 };
 
 struct RelayCall {
--- a/lib/relay/entry.cc
+++ b/lib/relay/entry.cc
@@ -103,6 +103,11 @@
   }
   RelayCall& call = request.call;
   FollowCaller(exchange, call);
+  if (call.cancellation.Check()) {
+    co_await Answer(exchange, request,
+                    CallResult::NotRun("the caller has left"));
+    co_return;
+  }
   const wire::PolicyOrganisation* organisation =
       request.policy->FindOrganisation(call.organisation);
   bool within_rate = true;
--- a/lib/relay/peer_client.cc
+++ b/lib/relay/peer_client.cc
@@ -45,7 +45,7 @@
     co_return result;
   }
   const auto connection = acquired.connection;
-  if (call.cancellation.requested()) {
+  if (call.cancellation.Check()) {
     connection->Close();
     co_return CallResult::NotRun("the caller has left");
   }
--- a/lib/relay/relay.cc
+++ b/lib/relay/relay.cc
@@ -32,6 +32,8 @@
 
 // Period of the decisions on waiting calls and of messages that are due.
 constexpr milliseconds kTick{10};
+// A tick that comes later than this is reported: callers notice such a pause.
+constexpr milliseconds kBehind{100};
 // Period of work that is not urgent.
 constexpr milliseconds kSlowTick{1000};
 // Callers and other relays notice within this time that a relay leaves: two
@@ -276,11 +278,24 @@
     while (true) {
       timer.expires_after(kTick);
       co_await timer.async_wait(stream::kAsTuple);
+      NoteIfBehind(clock_.Now() - timer.expiry());
       target_proxy_.Tick();
       rates_.Tick();
     }
   }
 
+  /// Tells of a relay that gets too little processor time for its load.
+  void NoteIfBehind(support::Duration late) {
+    if (late < kBehind)
+      return;
+    metrics_.Count("yuccastair_relay_behind_total", {});
+    support::LogWarning(
+        "relay.behind",
+        {{"ms", std::chrono::duration_cast<milliseconds>(late).count()},
+         {"active", Active()},
+         {"held", target_proxy_.held()}});
+  }
+
   Task<void> SlowTick() {
     asio::steady_timer timer(context_);
     while (true) {
--- a/lib/relay/send.cc
+++ b/lib/relay/send.cc
@@ -63,6 +63,12 @@
   co_return http::error::bad_status;
 }
 
+/// Reports that the caller leaves, once its whole request has been read.
+void WatchCaller(stream::ServerExchange& exchange, RelayCall& call) {
+  call.cancellation.SetProbe([&exchange] { return exchange.IsClientGone(); });
+  exchange.Watch([&call] { call.cancellation.Request(); });
+}
+
 }  // namespace
 
 Task<ErrorCode> SendRequest(
@@ -145,14 +151,16 @@
 
 void FollowCaller(stream::ServerExchange& exchange, RelayCall& call) {
   if (call.body.whole()) {
-    exchange.Watch([&call] { call.cancellation.Request(); });
+    WatchCaller(exchange, call);
     return;
   }
-  call.body.more = [&call, more = std::move(call.body.more)](
+  call.body.more = [&exchange, &call, more = std::move(call.body.more)](
                        std::string& out, bool& done) -> Task<ErrorCode> {
     const ErrorCode error = co_await more(out, done);
     if (error)
       call.cancellation.Request();
+    else if (done)
+      WatchCaller(exchange, call);
     co_return error;
   };
 }
--- a/lib/relay/target_proxy.cc
+++ b/lib/relay/target_proxy.cc
@@ -37,8 +37,8 @@
 constexpr milliseconds kDefaultIdle{6000};
 constexpr milliseconds kConnectTimeout{600};
 constexpr std::size_t kMaxIdleConnections = 512;
-// Exchanges that break one after the other where no kept connection tells
-// whether the target has restarted; single ones break for reasons of their own.
+// Exchanges that break one after the other where other connections do not tell
+// that the target has restarted; single ones break for reasons of their own.
 constexpr std::uint32_t kBrokenOfRestart = 3;
 // What a caller is told to wait where nothing better is known.
 constexpr milliseconds kRetrySoon{200};
@@ -270,7 +270,7 @@
 Task<CallResult> TargetProxy::RunAdmitted(RelayCall& call, std::uint64_t id) {
   ExchangeEnd end = ExchangeEnd::kCancelled;
   CallResult result;
-  if (call.cancellation.requested()) {
+  if (call.cancellation.Check()) {
     result = CallResult::NotRun("the caller has left");
   } else if (!CountArrival(call)) {
     result = CallResult::NotRun("too many requests are repeated");
@@ -337,7 +337,7 @@
                                  acquired.error.message());
   }
   // Another process may have taken the target's place meanwhile.
-  if (call.cancellation.requested() || !record_.AcceptsRequests() ||
+  if (call.cancellation.Check() || !record_.AcceptsRequests() ||
       incarnation != record_.Incarnation()) {
     acquired.connection->Close();
     co_return CallResult::NotRun("the target or the caller has left");
@@ -352,8 +352,10 @@
         return answer[id_header] == request_id ||
                answer.find(id_header) == answer.end();
       };
+  exchanges_.push_back(connection);
   const stream::ErrorCode error = co_await SendRequest(
       context_, connection, std::move(head), call, std::move(accept));
+  std::erase(exchanges_, connection);
   if (error) {
     call.cancellation.ClearHook();
     connection->Close();
@@ -418,11 +420,23 @@
   return result;
 }
 
-/// A process that ends breaks all its connections at once.
+/// Returns whether all other connections to the target have ended, of which
+/// there is one at least. A process that ends breaks all of them at once.
+bool TargetProxy::OthersEnded() {
+  auto state = pool_.StateOf(record_.announced()->address);
+  for (const auto& connection : exchanges_) {
+    if (connection->IsQuiet())
+      ++state.open;
+    else if (connection->IsGone())
+      ++state.closed;
+  }
+  return state.open == 0 && state.closed > 0;
+}
+
+/// Takes the target for restarted unless only this exchange broke, which has
+/// many reasons.
 void TargetProxy::NoteBroken() {
-  const auto kept = pool_.StateOf(record_.announced()->address);
-  const bool all_closed = kept.open == 0 && kept.closed > 0;
-  if (!all_closed && ++broken_in_a_row_ < kBrokenOfRestart)
+  if (!OthersEnded() && ++broken_in_a_row_ < kBrokenOfRestart)
     return;
   broken_in_a_row_ = 0;
   record_.NoteMaybeRestarted();
--- a/lib/relay/target_proxy.h
+++ b/lib/relay/target_proxy.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "call.h"
 #include "policy.pb.h"
@@ -81,6 +82,7 @@
                                     admission::ExchangeEnd& end);
   CallResult Judge(stream::ClientConnection& connection,
                    admission::ExchangeEnd& end) const;
+  bool OthersEnded();
   void NoteBroken();
   void Finish(std::uint64_t id, admission::ExchangeEnd end);
   stream::http::header<true> HeadFor(const RelayCall& call) const;
@@ -96,6 +98,8 @@
   admission::Admission admission_;
   admission::CallThrottle throttle_;
   stream::ConnectionPool pool_;
+  // Connections on which an answer is awaited.
+  std::vector<std::shared_ptr<stream::ClientConnection>> exchanges_;
   std::unordered_map<std::uint64_t, std::shared_ptr<Waiting>> waiting_;
   std::uint64_t next_id_ = 1;
   RunningRequests requests_;
--- a/lib/stream/client.cc
+++ b/lib/stream/client.cc
@@ -8,15 +8,14 @@
 #include "socket_state.h"
 
 namespace yuccastair::stream {
-namespace {
 
-/// Returns whether an idle connection can carry a request: the server has
-/// neither closed it nor sent anything that nobody asked for.
-bool IsQuiet(asio::ip::tcp::socket& socket) {
-  return StateOf(socket) == SocketState::kQuiet;
+bool ClientConnection::IsQuiet() {
+  return stream::StateOf(stream_.socket()) == SocketState::kQuiet;
 }
 
-}  // namespace
+bool ClientConnection::IsGone() {
+  return stream::StateOf(stream_.socket()) == SocketState::kGone;
+}
 
 void ClientConnection::Close() {
   ErrorCode ignored;  // Closing cannot be retried.
@@ -33,7 +32,7 @@
   while (!connections.empty()) {
     auto connection = std::move(connections.back());
     connections.pop_back();
-    if (now < connection->idle_until_ && IsQuiet(connection->stream_.socket()))
+    if (now < connection->idle_until_ && connection->IsQuiet())
       return connection;
   }
   return nullptr;
@@ -84,7 +83,7 @@
   if (found == idle_.end())
     return state;
   for (const auto& connection : found->second)
-    ++(IsQuiet(connection->stream_.socket()) ? state.open : state.closed);
+    ++(connection->IsQuiet() ? state.open : state.closed);
   return state;
 }
 
--- a/lib/stream/server.cc
+++ b/lib/stream/server.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr int kBacklog = 1024;
+// Connections that are accepted before the others are served again.
+constexpr int kMaxAccepts = 64;
 // Pause after accept() has failed for lack of descriptors.
 constexpr std::chrono::milliseconds kAcceptPause{20};
 // What a client is still sending after an answer is read for this long, since
@@ -24,6 +26,20 @@
   socket.set_option(asio::ip::tcp::no_delay(true), ignored);
 }
 
+/// Returns whether the header says in one way where the body ends. Two servers
+/// could understand anything else differently, and a request could be smuggled
+/// in the difference.
+bool HasClearEnd(const http::header<true>& head) {
+  const auto lengths = head.count(http::field::content_length);
+  const auto codings = head.count(http::field::transfer_encoding);
+  // A list such as "3,3" counts as several lengths.
+  if (lengths + codings > 1 ||
+      head[http::field::content_length].find(',') != beast::string_view::npos)
+    return false;
+  return codings == 0 ||
+         beast::iequals(head[http::field::transfer_encoding], "chunked");
+}
+
 Task<void> Linger(beast::tcp_stream& stream) {
   ErrorCode ignored;  // The client may have closed the connection already.
   stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
@@ -70,6 +86,10 @@
   if (error)
     co_return error;
   body_read_ = source.begin.size();
+  if (body_read_ > limits_.max_body_bytes) {
+    body_too_large_ = true;
+    co_return http::error::body_limit;
+  }
   if (!reader_.is_done()) {
     source.more = [this](std::string& out, bool& done) {
       return ReadMore(out, done);
@@ -118,6 +138,10 @@
   stream_.socket().cancel(ignored);
 }
 
+bool ServerExchange::IsClientGone() {
+  return StateOf(stream_.socket()) == SocketState::kGone;
+}
+
 Task<ErrorCode> ServerExchange::Respond(http::header<false> head,
                                         BodySource& source) {
   StopWatching();
@@ -166,6 +190,8 @@
     acceptor_.bind(endpoint, error);
   if (!error)
     acceptor_.listen(kBacklog, error);
+  if (!error)
+    acceptor_.non_blocking(true, error);
   if (error)
     throw support::Error("bind", listen.ToString(), error.message());
   asio::co_spawn(context_, Accept(), asio::detached);
@@ -177,18 +203,37 @@
 
 Task<void> Server::Accept() {
   while (true) {
-    auto [error, socket] = co_await acceptor_.async_accept(kAsTuple);
+    auto [error] = co_await acceptor_.async_wait(
+        asio::ip::tcp::acceptor::wait_read, kAsTuple);
     if (error == asio::error::operation_aborted)
       co_return;
+    if (!error)
+      error = AcceptWaiting();
     if (error) {
       support::LogWarning("server.accept_failed", {{"error", error.message()}});
       asio::steady_timer timer(context_, kAcceptPause);
       co_await timer.async_wait(kAsTuple);
-      continue;
     }
+  }
+}
+
+/// Accepts all connections that wait. Accepted one by one, each would wait
+/// until all others have been served once.
+ErrorCode Server::AcceptWaiting() {
+  for (int i = 0; i < kMaxAccepts; ++i) {
+    ErrorCode error;
+    asio::ip::tcp::socket socket = acceptor_.accept(error);
+    if (error == asio::error::would_block)
+      return {};
+    // The client has given up meanwhile.
+    if (error == asio::error::connection_aborted)
+      continue;
+    if (error)
+      return error;
     SetSocketOptions(socket);
     asio::co_spawn(context_, Serve(std::move(socket)), asio::detached);
   }
+  return {};
 }
 
 Task<void> Server::Serve(asio::ip::tcp::socket socket) {
@@ -216,8 +261,10 @@
   }
   ServerExchange exchange(stream, buffer, limits_);
   stream.expires_after(limits_.header_timeout);
-  const ErrorCode error =
+  ErrorCode error =
       co_await exchange.reader_.ReadHead(limits_.max_header_bytes);
+  if (!error && !HasClearEnd(exchange.head()))
+    error = http::error::bad_content_length;
   if (error) {
     if (error == http::error::end_of_stream || !stream.socket().is_open())
       co_return false;
--- a/unittests/http/client_cancel_test.cc
+++ b/unittests/http/client_cancel_test.cc
@@ -25,7 +25,7 @@
   return request;
 }
 
-// Guards against a request that cxxtools sends again by itself when the
+// Guards against a request that the client sends again by itself when the
 // connection closes without a response.
 TEST_CASE("a request is read once, however the exchange ends") {
   const auto [action, result] = GENERATE(table<Action, ExchangeResult>(
--- a/unittests/relay/cancellation_test.cc
+++ b/unittests/relay/cancellation_test.cc
@@ -36,5 +36,21 @@
   CHECK(cancellation.requested());
 }
 
+// Guards against work for a caller whose leaving is known to the system but
+// waits behind other events of a relay under load.
+TEST_CASE("a check asks whether the caller has left") {
+  Cancellation cancellation;
+  CHECK_FALSE(cancellation.Check());
+  bool gone = false;
+  int calls = 0;
+  cancellation.SetProbe([&] { return gone; });
+  cancellation.SetHook([&] { ++calls; });
+  CHECK_FALSE(cancellation.Check());
+  gone = true;
+  CHECK(cancellation.Check());
+  CHECK(cancellation.requested());
+  CHECK(calls == 1);
+}
+
 }  // namespace
 }  // namespace yuccastair::relay
--- a/unittests/relay/fake_target.h
+++ b/unittests/relay/fake_target.h
@@ -3,6 +3,8 @@
 #ifndef YUCCASTAIR_UNITTESTS_RELAY_FAKE_TARGET_H_
 #define YUCCASTAIR_UNITTESTS_RELAY_FAKE_TARGET_H_
 
+#include <deque>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -18,28 +20,60 @@
 /// request, and then keeps, closes or resets the connection.
 class FakeTarget {
  public:
-  enum class After { kKeep, kClose, kReset };
+  enum class After {
+    kKeep,
+    kClose,
+    kReset,
+    /// Gives no answer and keeps the connection.
+    kHold,
+  };
+  /// Chooses by the id of a request.
+  using Behaviour = std::function<After(const std::string& id)>;
 
   /// \p id_header names the header that carries the id of a request.
   FakeTarget(stream::asio::io_context& context,
              std::string answer,
-             After after,
+             Behaviour behaviour,
              std::string id_header = "x-yuccastair-request-id: ")
       : acceptor_(context, {stream::asio::ip::make_address("127.0.0.1"), 0}),
         answer_(std::move(answer)),
-        after_(after),
+        behaviour_(std::move(behaviour)),
         id_header_(std::move(id_header)) {
     stream::asio::co_spawn(context, Accept(context), stream::asio::detached);
   }
 
+  FakeTarget(stream::asio::io_context& context,
+             std::string answer,
+             After after,
+             std::string id_header = "x-yuccastair-request-id: ")
+      : FakeTarget(
+            context,
+            std::move(answer),
+            [after](const std::string&) { return after; },
+            std::move(id_header)) {}
+
   support::Address address() const {
     return {"127.0.0.1", acceptor_.local_endpoint().port()};
   }
   /// The heads of the requests that have arrived.
   const std::vector<std::string>& requests() const { return requests_; }
   void Close() { acceptor_.close(); }
+  /// Resets the connections of the \p count requests that are held longest.
+  void ResetHeld(std::size_t count) {
+    for (; count > 0 && !held_.empty(); --count) {
+      Reset(*held_.front());
+      held_.pop_front();
+    }
+  }
 
  private:
+  using Socket = stream::asio::ip::tcp::socket;
+
+  static void Reset(Socket& socket) {
+    socket.set_option(stream::asio::socket_base::linger(true, 0));
+    socket.close();
+  }
+
   stream::Task<void> Accept(stream::asio::io_context& context) {
     while (true) {
       auto [error, socket] = co_await acceptor_.async_accept(stream::kAsTuple);
@@ -50,7 +84,7 @@
     }
   }
 
-  stream::Task<void> Serve(stream::asio::ip::tcp::socket socket) {
+  stream::Task<void> Serve(Socket socket) {
     std::string received;
     std::string piece(4096, '\0');
     while (true) {
@@ -65,25 +99,35 @@
       const std::string head = received.substr(0, end + 2);
       requests_.push_back(head);
       received.erase(0, end + 4);
-      const std::string answer = AnswerTo(head);
+      const std::string id = IdOf(head);
+      const After after = behaviour_(id);
+      if (after == After::kHold) {
+        held_.push_back(std::make_unique<Socket>(std::move(socket)));
+        co_return;
+      }
+      const std::string answer = AnswerTo(id);
       co_await stream::asio::async_write(socket, stream::asio::buffer(answer),
                                          stream::kAsTuple);
-      if (after_ == After::kKeep)
+      if (after == After::kKeep)
         continue;
-      if (after_ == After::kReset)
-        socket.set_option(stream::asio::socket_base::linger(true, 0));
-      socket.close();
+      if (after == After::kClose)
+        socket.close();
+      else
+        Reset(socket);
       co_return;
     }
   }
 
-  std::string AnswerTo(const std::string& head) const {
-    std::string id;
+  /// Empty for a request without an id.
+  std::string IdOf(const std::string& head) const {
     const std::size_t at = head.find(id_header_);
-    if (at != std::string::npos) {
-      const std::size_t begin = at + id_header_.size();
-      id = head.substr(begin, head.find("\r\n", begin) - begin);
-    }
+    if (at == std::string::npos)
+      return "";
+    const std::size_t begin = at + id_header_.size();
+    return head.substr(begin, head.find("\r\n", begin) - begin);
+  }
+
+  std::string AnswerTo(const std::string& id) const {
     std::string answer = answer_;
     for (std::size_t mark = answer.find("{id}"); mark != std::string::npos;
          mark = answer.find("{id}"))
@@ -93,9 +137,10 @@
 
   stream::asio::ip::tcp::acceptor acceptor_;
   const std::string answer_;
-  const After after_;
+  const Behaviour behaviour_;
   const std::string id_header_;
   std::vector<std::string> requests_;
+  std::deque<std::unique_ptr<Socket>> held_;
 };
 
 }  // namespace yuccastair::relay
--- a/unittests/relay/target_proxy_test.cc
+++ b/unittests/relay/target_proxy_test.cc
@@ -5,6 +5,8 @@
 
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <memory>
+#include <vector>
 
 #include "fake_target.h"
 
@@ -212,6 +214,20 @@
   CHECK(target.requests().empty());
 }
 
+// Guards against work for a caller that left while the relay was busy with
+// other events: its connection has ended, but the event is not handled yet.
+TEST_CASE_METHOD(ProxyFixture, "the target's door asks for the caller") {
+  FakeTarget target(context_, std::string(kHead) + "Content-Length: 0\r\n\r\n",
+                    After::kKeep);
+  Announce(target);
+  REQUIRE(Run("id1").outcome == wire::OUTCOME_OK);
+  RelayCall call;
+  Fill(call, "id2");
+  call.cancellation.SetProbe([] { return true; });
+  CHECK(Run(call).outcome == wire::OUTCOME_NOT_RUN);
+  CHECK(target.requests().size() == 1);
+}
+
 // Guards against a target that goes on working for a caller that left while the
 // body of the answer was on its way.
 TEST_CASE_METHOD(ProxyFixture, "a caller that leaves ends the answer's body") {
@@ -248,5 +264,71 @@
         static_cast<std::size_t>(RepeatBudget::kBurst));
 }
 
+/// A target that holds some requests, so that exchanges run while others break.
+class BrokenExchanges : public ProxyFixture {
+ protected:
+  BrokenExchanges() { Announce(target_); }
+
+  /// Leaves a kept connection that the target has closed.
+  void LeaveClosedConnection() {
+    REQUIRE(Run("close").outcome == wire::OUTCOME_OK);
+    context_.run_for(20ms);
+  }
+
+  void StartHeld(int count) {
+    for (int i = 0; i < count; ++i) {
+      held_.push_back(std::make_unique<RelayCall>());
+      Fill(*held_.back(), "hold");
+      stream::asio::co_spawn(
+          context_,
+          [this, call = held_.back().get()]() -> stream::Task<void> {
+            co_await proxy_.Run(*call);
+          },
+          stream::asio::detached);
+    }
+    context_.restart();
+    context_.run_for(50ms);
+  }
+
+  FakeTarget target_{context_, std::string(kHead) + "Content-Length: 0\r\n\r\n",
+                     [](const std::string& id) {
+                       return id == "hold" ? After::kHold : After::kClose;
+                     }};
+  std::vector<std::unique_ptr<RelayCall>> held_;
+};
+
+// Guards against a target that is held back as if it had restarted whenever it
+// resets one connection under load: each time it took its announcement, 1 to
+// 2 s, until its slots were used again.
+TEST_CASE_METHOD(BrokenExchanges,
+                 "one broken exchange among others is no restart") {
+  StartHeld(4);
+  LeaveClosedConnection();
+  target_.ResetHeld(1);
+  context_.run_for(50ms);
+  CHECK(wire::TargetState_Name(proxy_.record().State()) ==
+        wire::TargetState_Name(wire::TARGET_STATE_UP));
+}
+
+// Guards against a full load for a target that has restarted and is cold.
+TEST_CASE_METHOD(BrokenExchanges,
+                 "the end of the only connections is a restart") {
+  StartHeld(1);
+  LeaveClosedConnection();
+  target_.ResetHeld(1);
+  context_.run_for(50ms);
+  CHECK(wire::TargetState_Name(proxy_.record().State()) ==
+        wire::TargetState_Name(wire::TARGET_STATE_COLD));
+}
+
+// The same for a target that ends while it works on all its connections.
+TEST_CASE_METHOD(BrokenExchanges, "exchanges that all break are a restart") {
+  StartHeld(2);
+  target_.ResetHeld(2);
+  context_.run_for(50ms);
+  CHECK(wire::TargetState_Name(proxy_.record().State()) ==
+        wire::TargetState_Name(wire::TARGET_STATE_COLD));
+}
+
 }  // namespace
 }  // namespace yuccastair::relay
--- /dev/null
+++ b/unittests/stream/server_test.cc
@@ -0,0 +1,68 @@
+// How the event-driven server shares its thread among connections.
+
+#include "yuccastair/stream/server.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+namespace yuccastair::stream {
+namespace {
+
+using Socket = asio::ip::tcp::socket;
+
+constexpr std::size_t kBusy = 30;
+constexpr std::size_t kNewcomers = 40;
+
+/// A server whose handlers have something to do in each round of the loop.
+class BusyServer {
+ protected:
+  ~BusyServer() { stopped_ = true; }
+
+  Socket Ask() {
+    Socket socket(context_);
+    socket.connect({asio::ip::make_address("127.0.0.1"), server_.port()});
+    asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+    return socket;
+  }
+
+  void RunUntilBegun(std::size_t requests) {
+    while (begun_ < requests)
+      context_.run_one();
+  }
+
+  Task<void> Handle() {
+    ++begun_;
+    while (!stopped_) {
+      ++steps_;
+      co_await asio::post(context_, asio::use_awaitable);
+    }
+  }
+
+  asio::io_context context_;
+  std::size_t begun_ = 0;
+  std::size_t steps_ = 0;
+  bool stopped_ = false;
+  Server server_{context_, support::Address{"127.0.0.1", 0},
+                 [this](ServerExchange&) { return Handle(); }};
+};
+
+// Guards against connections that wait for seconds under load: one was accepted
+// in each round of the loop, while each round served all others.
+TEST_CASE_METHOD(BusyServer, "connections that wait are accepted together") {
+  constexpr std::size_t kMostRounds = 10;
+  std::vector<Socket> sockets;
+  for (std::size_t i = 0; i < kBusy; ++i)
+    sockets.push_back(Ask());
+  RunUntilBegun(kBusy);
+  const std::size_t before = steps_;
+  for (std::size_t i = 0; i < kNewcomers; ++i)
+    sockets.push_back(Ask());
+  RunUntilBegun(kBusy + kNewcomers);
+  CHECK(steps_ - before < kMostRounds * (kBusy + kNewcomers));
+}
+
+}  // namespace
+}  // namespace yuccastair::stream
