--- a/include/yuccastair/admission/call_throttle.h
+++ b/include/yuccastair/admission/call_throttle.h
@@ -32,6 +32,9 @@
   /// Least share that is admitted, so that no route is starved and the end of
   /// the overload is seen.
   static constexpr double kLeastShare = 0.2;
+  /// Least share of one importance: the less important requests of a route are
+  /// not starved while the share goes to the others.
+  static constexpr double kLeastOfImportance = kLeastShare / 2;
   /// Time between two changes of a share: the calls of most requests have been
   /// answered by then.
   static constexpr std::chrono::milliseconds kInterval{400};
--- a/include/yuccastair/support/address.h
+++ b/include/yuccastair/support/address.h
@@ -29,6 +29,8 @@
 /// Parses "ip:port"; returns nothing if the text is not of that form.
 std::optional<Address> ParseAddress(std::string_view text);
 
+std::vector<std::string> ToStrings(const std::vector<Address>& addresses);
+
 /// Sets the port of every address where \p port is not 0: for addresses of
 /// processes that listen for peers at another port, equal on all instances.
 void SetPorts(std::vector<Address>& addresses, std::int64_t port);
--- a/lib/admission/call_throttle.cc
+++ b/lib/admission/call_throttle.cc
@@ -64,7 +64,7 @@
     // An importance that did not arrive lately is rare enough to be admitted.
     const double part = wanted > 0 ? std::clamp(left / wanted, 0.0, 1.0) : 1;
     left -= part * wanted;
-    route.admitted[rank] = std::max(part, kLeastShare / 2);
+    route.admitted[rank] = std::max(part, kLeastOfImportance);
   }
 }
 
--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -41,15 +41,6 @@
                             settings.curve_secret_key};
 }
 
-std::vector<std::string> ToStrings(
-    const std::vector<support::Address>& addresses) {
-  std::vector<std::string> texts;
-  texts.reserve(addresses.size());
-  for (const support::Address& address : addresses)
-    texts.push_back(address.ToString());
-  return texts;
-}
-
 /// Hands the target the span of its own node as the parent of its spans.
 void ReplaceTraceparent(const observe::TraceContext& context,
                         wire::CallRequest& call) {
@@ -73,7 +64,7 @@
       : settings_(std::move(settings)),
         incarnation_(support::RandomId()),
         started_ms_(static_cast<std::uint64_t>(support::WallClockMs())),
-        leader_(ToStrings(settings_.controls)),
+        leader_(support::ToStrings(settings_.controls)),
         observer_(settings_),
         target_(settings_.target_workers, running_, {}, {}),
         forwarder_(
@@ -230,7 +221,7 @@
   }
 
   SyncClient::Options SyncOptions() {
-    return {.controls = ToStrings(settings_.controls),
+    return {.controls = support::ToStrings(settings_.controls),
             .node_id = settings_.id,
             .interval = settings_.sync_interval,
             .fill = [this](wire::SyncRequest& request) { FillSync(request); },
--- a/lib/relay/relay.cc
+++ b/lib/relay/relay.cc
@@ -43,15 +43,6 @@
 // gone.
 constexpr milliseconds kExitMargin{700};
 
-std::vector<std::string> ToStrings(
-    const std::vector<support::Address>& addresses) {
-  std::vector<std::string> texts;
-  texts.reserve(addresses.size());
-  for (const support::Address& address : addresses)
-    texts.push_back(address.ToString());
-  return texts;
-}
-
 }  // namespace
 
 class Relay::Impl {
@@ -118,7 +109,7 @@
                      {{"service", settings_.service},
                       {"caller_listen", settings_.caller_listen.ToString()},
                       {"peer_listen", settings_.peer_listen.ToString()},
-                      {"seeds", ToStrings(settings_.seeds)}});
+                      {"seeds", support::ToStrings(settings_.seeds)}});
     context_.run();
     support::LogInfo("relay.stopped", {{"active", Active()}});
   }
@@ -126,7 +117,7 @@
  private:
   ControlLink::Options LinkOptions() {
     ControlLink::Options options;
-    options.seeds = ToStrings(settings_.seeds);
+    options.seeds = support::ToStrings(settings_.seeds);
     options.node_id = settings_.id;
     options.fill = [this](wire::SyncRequest& request) { FillRequest(request); };
     options.apply = [this](const wire::SyncReply& reply) { Apply(reply); };
@@ -328,7 +319,7 @@
     settings_.seeds = settings->seeds;
     settings_.service = settings->service;
     settings_.target = settings->target;
-    link_.SetSeeds(ToStrings(settings_.seeds));
+    link_.SetSeeds(support::ToStrings(settings_.seeds));
     entry_.SetService(settings_.service);
   }
 
--- a/lib/relay/target_proxy.cc
+++ b/lib/relay/target_proxy.cc
@@ -37,8 +37,8 @@
 constexpr milliseconds kDefaultIdle{6000};
 constexpr milliseconds kConnectTimeout{600};
 constexpr std::size_t kMaxIdleConnections = 512;
-// Exchanges that break one after the other where other connections do not tell
-// that the target has restarted; single ones break for reasons of their own.
+// Exchanges that break one after the other where no other connection tells
+// whether the target has restarted; single ones break for reasons of their own.
 constexpr std::uint32_t kBrokenOfRestart = 3;
 // What a caller is told to wait where nothing better is known.
 constexpr milliseconds kRetrySoon{200};
@@ -420,9 +420,7 @@
   return result;
 }
 
-/// Returns whether all other connections to the target have ended, of which
-/// there is one at least. A process that ends breaks all of them at once.
-bool TargetProxy::OthersEnded() {
+stream::ConnectionPool::KeptState TargetProxy::OtherConnections() {
   auto state = pool_.StateOf(record_.announced()->address);
   for (const auto& connection : exchanges_) {
     if (connection->IsQuiet())
@@ -430,14 +428,21 @@
     else if (connection->IsGone())
       ++state.closed;
   }
-  return state.open == 0 && state.closed > 0;
+  return state;
 }
 
-/// Takes the target for restarted unless only this exchange broke, which has
-/// many reasons.
+/// Takes the target for restarted unless only some exchanges broke, which has
+/// many reasons. A process that ends breaks all its connections at once.
 void TargetProxy::NoteBroken() {
-  if (!OthersEnded() && ++broken_in_a_row_ < kBrokenOfRestart)
+  const auto others = OtherConnections();
+  ++broken_in_a_row_;
+  if (others.open > 0 ||
+      (others.closed == 0 && broken_in_a_row_ < kBrokenOfRestart))
     return;
+  support::LogInfo("target.maybe_restarted",
+                   {{"others_open", others.open},
+                    {"others_ended", others.closed},
+                    {"broken_in_a_row", broken_in_a_row_}});
   broken_in_a_row_ = 0;
   record_.NoteMaybeRestarted();
   ApplyState();
--- a/lib/relay/target_proxy.h
+++ b/lib/relay/target_proxy.h
@@ -82,7 +82,7 @@
                                     admission::ExchangeEnd& end);
   CallResult Judge(stream::ClientConnection& connection,
                    admission::ExchangeEnd& end) const;
-  bool OthersEnded();
+  stream::ConnectionPool::KeptState OtherConnections();
   void NoteBroken();
   void Finish(std::uint64_t id, admission::ExchangeEnd end);
   stream::http::header<true> HeadFor(const RelayCall& call) const;
--- a/lib/support/address.cc
+++ b/lib/support/address.cc
@@ -27,6 +27,14 @@
   return address;
 }
 
+std::vector<std::string> ToStrings(const std::vector<Address>& addresses) {
+  std::vector<std::string> texts;
+  texts.reserve(addresses.size());
+  for (const Address& address : addresses)
+    texts.push_back(address.ToString());
+  return texts;
+}
+
 void SetPorts(std::vector<Address>& addresses, std::int64_t port) {
   if (port == 0)
     return;
--- a/unittests/relay/target_proxy_test.cc
+++ b/unittests/relay/target_proxy_test.cc
@@ -298,13 +298,14 @@
 };
 
 // Guards against a target that is held back as if it had restarted whenever it
-// resets one connection under load: each time it took its announcement, 1 to
-// 2 s, until its slots were used again.
+// resets connections under load, one or a few in a row: each time it took its
+// announcement, 1 to 2 s, until its slots were used again.
 TEST_CASE_METHOD(BrokenExchanges,
-                 "one broken exchange among others is no restart") {
-  StartHeld(4);
+                 "broken exchanges beside an open one are no restart") {
+  const std::size_t broken = GENERATE(1, 3, 5);
+  StartHeld(6);
   LeaveClosedConnection();
-  target_.ResetHeld(1);
+  target_.ResetHeld(broken);
   context_.run_for(50ms);
   CHECK(wire::TargetState_Name(proxy_.record().State()) ==
         wire::TargetState_Name(wire::TARGET_STATE_UP));
