--- a/include/yuccastair/http/server.h
+++ b/include/yuccastair/http/server.h
@@ -35,7 +35,7 @@
     std::function<Response(const Request&, int status)> on_refused;
   };
 
-  /// Starts listening. Throws Error with step "listen" if the address cannot be
+  /// Starts listening. Throws Error with step "bind" if the address cannot be
   /// bound.
   explicit Server(Options options);
   ~Server();
--- a/lib/http/server.cc
+++ b/lib/http/server.cc
@@ -147,7 +147,7 @@
 
   Task<void> Handle(stream::ServerExchange& exchange,
                     const std::shared_ptr<Job>& job) {
-    // Handlers may outlive the exchange, but not the job.
+    // Handlers may keep copies of the request after its job has ended.
     job->request.caller_gone = [weak = std::weak_ptr<Job>(job)] {
       const auto held = weak.lock();
       return !held || held->caller_gone;
