Share the control stand-in of two tests and rename the scripted target

Cause: a reading of the whole change. The tests of the node's sync client and of the relay's control link each had a control process that answers syncs with a given age. unittests/relay/fake_target.h had the name of unittests/fake_target.h, which is another, blocking target.

Ruled out: one piece for the other pairs that were listed. Those in target_proxy, claim_gate and token_leases are constants with their own reasons, those of the headers are only guards and includes; the stand-ins in forwarder_test and claim_gate_test share the way a transport is built and answer other messages.

Change: ControlStandIn serves both tests. The relay's target is called ScriptedTarget. Tests only; no check is changed.

Conclusion: the five tests concerned pass.

--- /dev/null
+++ b/unittests/control_stand_in.h
@@ -0,0 +1,49 @@
+// A control process that answers syncs, for tests of those that ask it.
+
+#ifndef YUCCASTAIR_UNITTESTS_CONTROL_STAND_IN_H_
+#define YUCCASTAIR_UNITTESTS_CONTROL_STAND_IN_H_
+
+#include <atomic>
+#include <cstdint>
+#include <string>
+#include <utility>
+
+#include "yuccastair/wire/transport.h"
+
+namespace yuccastair {
+
+/// Answers each sync with a view of a given age.
+class ControlStandIn {
+ public:
+  ControlStandIn(const std::string& listen, std::uint32_t age_ms)
+      : age_ms_(age_ms),
+        transport_({.listen = listen, .curve = std::nullopt},
+                   {.on_request =
+                        [this](const wire::ReplyRoute& route,
+                               const wire::Envelope& request) {
+                          Answer(route, request);
+                        },
+                    .on_answer = nullptr,
+                    .on_undelivered = nullptr,
+                    .on_tick = nullptr}) {}
+
+  /// Syncs that have arrived.
+  int asked() const { return asked_; }
+
+ private:
+  void Answer(const wire::ReplyRoute& route, const wire::Envelope& request) {
+    ++asked_;
+    wire::Envelope answer;
+    answer.set_correlation(request.correlation());
+    answer.mutable_sync_reply()->set_age_ms(age_ms_);
+    transport_.Reply(route, std::move(answer));
+  }
+
+  const std::uint32_t age_ms_;
+  std::atomic<int> asked_ = 0;
+  wire::Transport transport_;
+};
+
+}  // namespace yuccastair
+
+#endif  // YUCCASTAIR_UNITTESTS_CONTROL_STAND_IN_H_
--- a/unittests/node/sync_client_test.cc
+++ b/unittests/node/sync_client_test.cc
@@ -6,6 +6,8 @@
 #include <condition_variable>
 #include <memory>
 
+#include "control_stand_in.h"
+
 namespace yuccastair::node {
 namespace {
 
@@ -13,29 +15,6 @@
 
 constexpr std::chrono::seconds kLongWait{20};
 
-/// A control process that answers each sync with a fixed age.
-class ControlStandIn {
- public:
-  ControlStandIn(const std::string& listen, std::uint32_t age_ms)
-      : age_ms_(age_ms),
-        transport_({.listen = listen, .curve = std::nullopt},
-                   {.on_request =
-                        [this](const wire::ReplyRoute& route,
-                               const wire::Envelope& request) {
-                          wire::Envelope answer;
-                          answer.set_correlation(request.correlation());
-                          answer.mutable_sync_reply()->set_age_ms(age_ms_);
-                          transport_.Reply(route, std::move(answer));
-                        },
-                    .on_answer = nullptr,
-                    .on_undelivered = nullptr,
-                    .on_tick = nullptr}) {}
-
- private:
-  const std::uint32_t age_ms_;
-  wire::Transport transport_;
-};
-
 /// Syncs until a number of replies have been applied; returns the freshness.
 support::TimePoint FreshAfter(int replies,
                               const std::string& control,
--- a/unittests/platform/path_test.cc
+++ b/unittests/platform/path_test.cc
@@ -9,7 +9,7 @@
 
 #include "platform/operator_front.h"
 #include "platform/target_calls.h"
-#include "relay/fake_target.h"
+#include "relay/scripted_target.h"
 #include "temporary_dir.h"
 #include "yuccastair/control/control.h"
 #include "yuccastair/relay/relay.h"
@@ -189,11 +189,11 @@
   TemporaryDir directory_;
   stream::asio::io_context context_;
   stream::ConnectionPool pool_{context_, {}};
-  relay::FakeTarget target_{
+  relay::ScriptedTarget target_{
       context_,
       "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Seal: s\r\n"
       "Content-Length: 4\r\n\r\nbody",
-      relay::FakeTarget::After::kKeep, "X-Attempt-Id: "};
+      relay::ScriptedTarget::After::kKeep, "X-Attempt-Id: "};
   std::optional<control::Control> control_;
   std::optional<OperatorFront> front_;
   std::thread relay_;
--- a/unittests/relay/control_link_test.cc
+++ b/unittests/relay/control_link_test.cc
@@ -5,51 +5,14 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <memory>
-#include <mutex>
+
+#include "control_stand_in.h"
 
 namespace yuccastair::relay {
 namespace {
 
 using namespace std::chrono_literals;
 
-/// A control process that answers syncs with a view of a given age.
-class FakeControl {
- public:
-  FakeControl(const std::string& address, std::uint32_t age_ms)
-      : age_ms_(age_ms),
-        transport_({.listen = address, .curve = std::nullopt},
-                   {.on_request =
-                        [this](const wire::ReplyRoute& route,
-                               const wire::Envelope& request) {
-                          Answer(route, request);
-                        },
-                    .on_answer = nullptr,
-                    .on_undelivered = nullptr,
-                    .on_tick = nullptr}) {}
-
-  int asked() const {
-    const std::lock_guard lock(mutex_);
-    return asked_;
-  }
-
- private:
-  void Answer(const wire::ReplyRoute& route, const wire::Envelope& request) {
-    {
-      const std::lock_guard lock(mutex_);
-      ++asked_;
-    }
-    wire::Envelope answer;
-    answer.set_correlation(request.correlation());
-    answer.mutable_sync_reply()->set_age_ms(age_ms_);
-    transport_.Reply(route, std::move(answer));
-  }
-
-  const std::uint32_t age_ms_;
-  mutable std::mutex mutex_;
-  int asked_ = 0;
-  wire::Transport transport_;
-};
-
 class LinkFixture {
  protected:
   void Start(std::vector<std::string> seeds) {
@@ -86,15 +49,15 @@
   // Which one is asked first depends on their addresses.
   const bool first_is_old = GENERATE(true, false);
   CAPTURE(first_is_old);
-  FakeControl one("127.0.0.1:26001", first_is_old ? 5000 : 0);
-  FakeControl two("127.0.0.1:26002", first_is_old ? 0 : 5000);
+  ControlStandIn one("127.0.0.1:26001", first_is_old ? 5000 : 0);
+  ControlStandIn two("127.0.0.1:26002", first_is_old ? 0 : 5000);
   Start({"127.0.0.1:26001", "127.0.0.1:26002"});
   REQUIRE(RunUntil([&] { return IsFresh(); }));
   CHECK((first_is_old ? one : two).asked() <= 1);
 }
 
 TEST_CASE_METHOD(LinkFixture, "a silent control process is left") {
-  FakeControl control("127.0.0.1:26003", 0);
+  ControlStandIn control("127.0.0.1:26003", 0);
   Start({"127.0.0.1:26003", "127.0.0.1:26004"});
   CHECK(RunUntil([&] { return IsFresh(); }));
 }
@@ -103,7 +66,7 @@
 TEST_CASE_METHOD(LinkFixture, "seeds are read anew when nobody answers") {
   Start({"127.0.0.1:26005"});
   CHECK(RunUntil([&] { return refreshed_ > 0; }));
-  FakeControl control("127.0.0.1:26006", 0);
+  ControlStandIn control("127.0.0.1:26006", 0);
   link_->SetSeeds({"127.0.0.1:26006"});
   CHECK(RunUntil([&] { return IsFresh(); }));
 }
@@ -114,7 +77,7 @@
   context_.run_for(20ms);
   link_->SetSeeds({});
   context_.run_for(1000ms);
-  FakeControl control("127.0.0.1:26008", 0);
+  ControlStandIn control("127.0.0.1:26008", 0);
   link_->SetSeeds({"127.0.0.1:26008"});
   CHECK(RunUntil([&] { return IsFresh(); }));
 }
--- a/unittests/relay/entry_test.cc
+++ b/unittests/relay/entry_test.cc
@@ -6,8 +6,8 @@
 #include <catch2/catch.hpp>
 #include <sstream>
 
-#include "fake_target.h"
 #include "peer_protocol.h"
+#include "scripted_target.h"
 
 namespace yuccastair::relay {
 namespace {
@@ -28,8 +28,9 @@
 /// of the same service that refuses them.
 class EntryFixture {
  protected:
-  explicit EntryFixture(const CallResult& other_refusal,
-                        FakeTarget::After after = FakeTarget::After::kKeep)
+  explicit EntryFixture(
+      const CallResult& other_refusal,
+      ScriptedTarget::After after = ScriptedTarget::After::kKeep)
       : own_(context_,
              "HTTP/1.1 500 Failed\r\nx-yuccastair-request-id: {id}\r\n"
              "x-yuccastair-seal: s\r\nContent-Length: 0\r\n\r\n",
@@ -124,8 +125,8 @@
   support::SteadyClock clock_;
   HeaderNames names_;
   observe::Metrics metrics_;
-  FakeTarget own_;
-  FakeTarget other_;
+  ScriptedTarget own_;
+  ScriptedTarget other_;
   Fleet fleet_{clock_, "a"};
   TargetProxy target_{context_, clock_, names_, 2000ms, metrics_};
   PeerClient peers_{context_, clock_};
@@ -199,7 +200,8 @@
 class HeldRequests : public EntryFixture {
  protected:
   HeldRequests()
-      : EntryFixture(CallResult::NotRun("busy"), FakeTarget::After::kHold) {}
+      : EntryFixture(CallResult::NotRun("busy"), ScriptedTarget::After::kHold) {
+  }
 };
 
 // Guards against a target that goes on working for a caller that left after a
--- a/unittests/relay/fake_target.h
+++ b/unittests/relay/scripted_target.h
@@ -1,7 +1,7 @@
 // A target that answers with scripted bytes.
 
-#ifndef YUCCASTAIR_UNITTESTS_RELAY_FAKE_TARGET_H_
-#define YUCCASTAIR_UNITTESTS_RELAY_FAKE_TARGET_H_
+#ifndef YUCCASTAIR_UNITTESTS_RELAY_SCRIPTED_TARGET_H_
+#define YUCCASTAIR_UNITTESTS_RELAY_SCRIPTED_TARGET_H_
 
 #include <deque>
 #include <functional>
@@ -18,7 +18,7 @@
 
 /// Answers each request with the same bytes, "{id}" replaced by the id of the
 /// request, and then keeps, closes or resets the connection.
-class FakeTarget {
+class ScriptedTarget {
  public:
   enum class After {
     kKeep,
@@ -31,10 +31,10 @@
   using Behaviour = std::function<After(const std::string& id)>;
 
   /// \p id_header names the header that carries the id of a request.
-  FakeTarget(stream::asio::io_context& context,
-             std::string answer,
-             Behaviour behaviour,
-             std::string id_header = "x-yuccastair-request-id: ")
+  ScriptedTarget(stream::asio::io_context& context,
+                 std::string answer,
+                 Behaviour behaviour,
+                 std::string id_header = "x-yuccastair-request-id: ")
       : acceptor_(context, {stream::asio::ip::make_address("127.0.0.1"), 0}),
         answer_(std::move(answer)),
         behaviour_(std::move(behaviour)),
@@ -42,11 +42,11 @@
     stream::asio::co_spawn(context, Accept(context), stream::asio::detached);
   }
 
-  FakeTarget(stream::asio::io_context& context,
-             std::string answer,
-             After after,
-             std::string id_header = "x-yuccastair-request-id: ")
-      : FakeTarget(
+  ScriptedTarget(stream::asio::io_context& context,
+                 std::string answer,
+                 After after,
+                 std::string id_header = "x-yuccastair-request-id: ")
+      : ScriptedTarget(
             context,
             std::move(answer),
             [after](const std::string&) { return after; },
@@ -145,4 +145,4 @@
 
 }  // namespace yuccastair::relay
 
-#endif  // YUCCASTAIR_UNITTESTS_RELAY_FAKE_TARGET_H_
+#endif  // YUCCASTAIR_UNITTESTS_RELAY_SCRIPTED_TARGET_H_
--- a/unittests/relay/target_proxy_test.cc
+++ b/unittests/relay/target_proxy_test.cc
@@ -8,14 +8,14 @@
 #include <memory>
 #include <vector>
 
-#include "fake_target.h"
+#include "scripted_target.h"
 #include "yuccastair/stream/server.h"
 
 namespace yuccastair::relay {
 namespace {
 
 using namespace std::chrono_literals;
-using After = FakeTarget::After;
+using After = ScriptedTarget::After;
 
 constexpr const char* kHead =
     "HTTP/1.1 200 OK\r\nx-yuccastair-request-id: {id}\r\n"
@@ -23,7 +23,7 @@
 
 class ProxyFixture {
  protected:
-  void Announce(const FakeTarget& target, std::uint32_t slots = 10) {
+  void Announce(const ScriptedTarget& target, std::uint32_t slots = 10) {
     Announcement announcement;
     announcement.target_id = "t1";
     announcement.sequence = ++sequence_;
@@ -142,7 +142,7 @@
             wire::OUTCOME_UNKNOWN, true},
        }) {
     CAPTURE(test.name);
-    FakeTarget target(context_, test.answer, test.after);
+    ScriptedTarget target(context_, test.answer, test.after);
     Announce(target);
     CallResult result = Run("id1");
     CHECK(wire::Outcome_Name(result.outcome) ==
@@ -160,8 +160,8 @@
 // Guards against a token of trust that callers can set: the target believes
 // these headers.
 TEST_CASE_METHOD(ProxyFixture, "the target sees who asks and for how long") {
-  FakeTarget target(context_, std::string(kHead) + "Content-Length: 0\r\n\r\n",
-                    After::kKeep);
+  ScriptedTarget target(
+      context_, std::string(kHead) + "Content-Length: 0\r\n\r\n", After::kKeep);
   Announce(target);
   Run("id1");
   REQUIRE(target.requests().size() == 1);
@@ -179,7 +179,7 @@
 TEST_CASE_METHOD(ProxyFixture, "bytes after an answer end its connection") {
   const std::string answer =
       std::string(kHead) + "Content-Length: 4\r\n\r\nbody";
-  FakeTarget target(context_, answer + answer, After::kKeep);
+  ScriptedTarget target(context_, answer + answer, After::kKeep);
   Announce(target);
   for (const char* id : {"id1", "id2", "id3"}) {
     CAPTURE(id);
@@ -191,7 +191,7 @@
 
 // Guards against requests to an address where no process listens.
 TEST_CASE_METHOD(ProxyFixture, "a refused connection takes the target down") {
-  FakeTarget target(context_, "", After::kClose);
+  ScriptedTarget target(context_, "", After::kClose);
   Announce(target);
   target.Close();
   context_.poll();
@@ -205,8 +205,8 @@
 // Guards against work for a caller that has left before its turn.
 TEST_CASE_METHOD(ProxyFixture,
                  "a call whose caller has left reaches no target") {
-  FakeTarget target(context_, std::string(kHead) + "Content-Length: 0\r\n\r\n",
-                    After::kKeep);
+  ScriptedTarget target(
+      context_, std::string(kHead) + "Content-Length: 0\r\n\r\n", After::kKeep);
   Announce(target);
   RelayCall call;
   Fill(call, "id1");
@@ -218,8 +218,8 @@
 // Guards against work for a caller that left while the relay was busy with
 // other events: its connection has ended, but the event is not handled yet.
 TEST_CASE_METHOD(ProxyFixture, "the target's door asks for the caller") {
-  FakeTarget target(context_, std::string(kHead) + "Content-Length: 0\r\n\r\n",
-                    After::kKeep);
+  ScriptedTarget target(
+      context_, std::string(kHead) + "Content-Length: 0\r\n\r\n", After::kKeep);
   Announce(target);
   REQUIRE(Run("id1").outcome == wire::OUTCOME_OK);
   RelayCall call;
@@ -232,9 +232,9 @@
 // Guards against a target that goes on working for a caller that left while the
 // body of the answer was on its way.
 TEST_CASE_METHOD(ProxyFixture, "a caller that leaves ends the answer's body") {
-  FakeTarget target(context_,
-                    std::string(kHead) + "Content-Length: 9\r\n\r\nbody",
-                    After::kKeep);
+  ScriptedTarget target(context_,
+                        std::string(kHead) + "Content-Length: 9\r\n\r\nbody",
+                        After::kKeep);
   Announce(target);
   RelayCall call;
   Fill(call, "id1");
@@ -248,7 +248,7 @@
 
 // Guards against a call that keeps its slot when the target never answers.
 TEST_CASE_METHOD(ProxyFixture, "a silent target holds a call to its deadline") {
-  FakeTarget target(context_, "", After::kHold);
+  ScriptedTarget target(context_, "", After::kHold);
   Announce(target);
   RelayCall call;
   Fill(call, "id1");
@@ -352,8 +352,8 @@
 // Guards against a repeat budget that one relay after the other uses up.
 TEST_CASE_METHOD(ProxyFixture,
                  "repeats beyond the budget do not reach the target") {
-  FakeTarget target(context_, std::string(kHead) + "Content-Length: 0\r\n\r\n",
-                    After::kKeep);
+  ScriptedTarget target(
+      context_, std::string(kHead) + "Content-Length: 0\r\n\r\n", After::kKeep);
   Announce(target);
   for (int i = 0; i < 20; ++i) {
     RelayCall call;
@@ -394,10 +394,11 @@
     context_.run_for(50ms);
   }
 
-  FakeTarget target_{context_, std::string(kHead) + "Content-Length: 0\r\n\r\n",
-                     [](const std::string& id) {
-                       return id == "hold" ? After::kHold : After::kClose;
-                     }};
+  ScriptedTarget target_{context_,
+                         std::string(kHead) + "Content-Length: 0\r\n\r\n",
+                         [](const std::string& id) {
+                           return id == "hold" ? After::kHold : After::kClose;
+                         }};
   std::vector<std::unique_ptr<RelayCall>> held_;
 };
 
