Tell why a sync, a passed-on operation or a choice of target was in vain

What the log could not say: whether a relay that reports control.lost found no connection, got no answer, or got one from a control process that is behind; the same for operations that a control process passes to the leader; and which members a relay knew when no target could be reached.

control.lost and policy.leader_silent carry the reason, control.found the time away, request.ended the members that were left out. Two metrics: syncs in vain by reason, and the age of the relay's view. The age before the first answer, which was the uptime of the machine, is left out. No decision is changed.

Ruled out: libzmq's monitor sockets, which need another pair of sockets for each peer and say nothing about which request they concern.

--- a/include/yuccastair/routing/router.h
+++ b/include/yuccastair/routing/router.h
@@ -41,6 +41,12 @@
   double limit = 0;
 };
 
+/// A member that a call cannot be sent to, for the log.
+struct Excluded {
+  std::string node_id;
+  std::string reason;
+};
+
 /// Routing to one service. Not safe for use by several threads.
 class Router {
  public:
@@ -67,6 +73,10 @@
   std::optional<Choice> Choose(bool idempotent,
                                const std::vector<std::string>& tried);
 
+  /// Returns why each member is left out of a choice that found none.
+  std::vector<Excluded> ExplainNone(
+      const std::vector<std::string>& tried) const;
+
   /// \p load may be null.
   void End(const Choice& choice, AttemptEnd end, const wire::LoadReport* load);
 
@@ -92,6 +102,8 @@
     std::uint32_t good_probes = 0;
   };
 
+  wire::TargetState StateOf(const Target& target) const;
+  bool IsZoneOut(const Target& target) const;
   bool Accepts(const Target& target) const;
   /// Returns whether a cold target has all the load that it reports to bear.
   bool BeyondRamp(const Target& target) const;
--- a/lib/control/control.cc
+++ b/lib/control/control.cc
@@ -54,8 +54,17 @@
   wire::Envelope envelope;
 };
 
+/// A policy operation that found no connection to the leader.
+struct UndeliveredOperation {
+  std::string address;
+  std::uint64_t number = 0;
+};
+
 /// What the core thread takes from its ring.
-using CoreEvent = std::variant<PeerRequest, PeerAnswer, std::function<void()>>;
+using CoreEvent = std::variant<PeerRequest,
+                               PeerAnswer,
+                               UndeliveredOperation,
+                               std::function<void()>>;
 
 }  // namespace
 
@@ -146,7 +155,12 @@
                 [this](const std::string& address, wire::Envelope envelope) {
                   events_.TryPush(PeerAnswer{address, std::move(envelope)});
                 },
-            .on_undelivered = nullptr,
+            .on_undelivered =
+                [this](const std::string& address, wire::Envelope envelope) {
+                  if (envelope.has_policy_request())
+                    events_.TryPush(
+                        UndeliveredOperation{address, envelope.correlation()});
+                },
             .on_tick = nullptr};
   }
 
@@ -312,6 +326,10 @@
                                   answer.envelope.policy_reply());
   }
 
+  void Handle(const UndeliveredOperation& undelivered) {
+    policy_service_.HandleUndelivered(undelivered.number, undelivered.address);
+  }
+
   /// Follows the members of the log where they are not known in advance.
   void FollowControlProcesses() {
     const support::TimePoint now = clock_.Now();
--- a/lib/control/policy_service.cc
+++ b/lib/control/policy_service.cc
@@ -34,7 +34,7 @@
     return;
   }
   const std::uint64_t number = next_number_++;
-  waiting_[number] = {done, clock_.Now() + kForwardTimeout};
+  waiting_[number] = {.done = done, .until = clock_.Now() + kForwardTimeout};
   forward_(leader, number, request);
 }
 
@@ -79,6 +79,15 @@
   done(reply);
 }
 
+void PolicyService::HandleUndelivered(std::uint64_t number,
+                                      const std::string& leader) {
+  const auto found = waiting_.find(number);
+  if (found == waiting_.end())
+    return;
+  found->second.undelivered = true;
+  support::LogWarning("policy.leader_unreachable", {{"leader", leader}});
+}
+
 void PolicyService::Tick() {
   const support::TimePoint now = clock_.Now();
   for (auto it = waiting_.begin(); it != waiting_.end();) {
@@ -87,9 +96,10 @@
       continue;
     }
     const Done done = std::move(it->second.done);
-    it = waiting_.erase(it);
     support::LogWarning("policy.leader_silent",
-                        {{"leader", log_.LeaderAddress()}});
+                        {{"leader", log_.LeaderAddress()},
+                         {"connected", !it->second.undelivered}});
+    it = waiting_.erase(it);
     done({});
   }
 }
--- a/lib/control/policy_service.h
+++ b/lib/control/policy_service.h
@@ -44,6 +44,9 @@
 
   void HandleReply(std::uint64_t number, const wire::PolicyReply& reply);
 
+  /// An operation that was passed on found no connection to \p leader.
+  void HandleUndelivered(std::uint64_t number, const std::string& leader);
+
   /// Gives up operations that wait too long.
   void Tick();
 
@@ -54,6 +57,8 @@
   struct Waiting {
     Done done;
     support::TimePoint until;
+    // Whether it was dropped for want of a connection.
+    bool undelivered = false;
   };
 
   consensus::ReplicatedLog& log_;
--- a/lib/relay/control_link.cc
+++ b/lib/relay/control_link.cc
@@ -23,9 +23,11 @@
 
 ControlLink::ControlLink(stream::asio::io_context& context,
                          const support::Clock& clock,
+                         observe::Metrics& metrics,
                          Options options)
     : context_(context),
       clock_(clock),
+      metrics_(metrics),
       options_(std::move(options)),
       answered_(context),
       pause_(context),
@@ -39,7 +41,13 @@
                               OnAnswer(std::move(envelope));
                             });
                       },
-                  .on_undelivered = nullptr,
+                  .on_undelivered =
+                      [this](const std::string&, wire::Envelope envelope) {
+                        stream::asio::post(
+                            context_, [this, envelope = std::move(envelope)] {
+                              OnUndelivered(envelope);
+                            });
+                      },
                   .on_tick = nullptr}) {
   ChooseOrder();
   stream::asio::co_spawn(context_, Run(), stream::asio::detached);
@@ -87,12 +95,31 @@
   }
 }
 
+void ControlLink::OnUndelivered(const wire::Envelope& envelope) {
+  if (awaited_ != 0 && envelope.correlation() == awaited_)
+    undelivered_ = true;
+}
+
+const char* ControlLink::ToString(SyncEnd end) {
+  switch (end) {
+    case SyncEnd::kCurrent:
+      return "current";
+    case SyncEnd::kNotConnected:
+      return "no connection";
+    case SyncEnd::kNoAnswer:
+      return "no answer";
+    case SyncEnd::kOldView:
+      return "old view";
+  }
+  return "unknown";
+}
+
 stream::Task<void> ControlLink::Run() {
   while (true) {
     if (!order_.empty()) {
-      const bool answered = co_await SyncOnce();
+      const SyncEnd end = co_await SyncOnce();
       // The next one is asked at once, until all have been asked in vain.
-      if (!answered && Move())
+      if (end != SyncEnd::kCurrent && Move(end))
         continue;
     }
     if (!std::exchange(wake_requested_, false)) {
@@ -106,15 +133,23 @@
 /// Turns to the next control process. Once all that are known have been asked
 /// in vain, all may have changed address, and the seeds are asked again.
 /// Returns whether there is one that has not been asked in this round.
-bool ControlLink::Move() {
+bool ControlLink::Move(SyncEnd end) {
+  in_touch_ = false;
   // The seeds may have been replaced while an answer was awaited.
   if (order_.empty())
     return false;
-  support::LogWarning("control.lost",
-                      {{"control", order_[current_]},
-                       {"age_ms", std::chrono::duration_cast<milliseconds>(
-                                      clock_.Now() - fresh_at_)
-                                      .count()}});
+  const std::string reason = ToString(end);
+  metrics_.Count("yuccastair_control_lost_total", {{"reason", reason}});
+  nlohmann::json fields = {{"control", order_[current_]},
+                           {"reason", reason},
+                           {"known", order_.size()}};
+  if (fresh_at_ != support::TimePoint())
+    fields["age_ms"] =
+        std::chrono::duration_cast<milliseconds>(clock_.Now() - fresh_at_)
+            .count();
+  if (end == SyncEnd::kOldView)
+    fields["view_age_ms"] = reply_->age_ms();
+  support::LogWarning("control.lost", fields);
   current_ = (current_ + 1) % order_.size();
   if (++moves_since_answer_ < order_.size())
     return true;
@@ -126,20 +161,20 @@
   return false;
 }
 
-stream::Task<bool> ControlLink::SyncOnce() {
+stream::Task<ControlLink::SyncEnd> ControlLink::SyncOnce() {
   wire::Envelope envelope;
   options_.fill(*envelope.mutable_sync_request());
   awaited_ = next_correlation_++;
   envelope.set_correlation(awaited_);
   reply_.reset();
+  undelivered_ = false;
   const support::TimePoint sent_at = clock_.Now();
-  const std::string control = order_[current_];
   answered_.expires_after(kAnswerTimeout);
-  transport_.Send(control, std::move(envelope));
+  transport_.Send(order_[current_], std::move(envelope));
   co_await answered_.async_wait(stream::kAsTuple);
   awaited_ = 0;
   if (!reply_)
-    co_return false;
+    co_return undelivered_ ? SyncEnd::kNotConnected : SyncEnd::kNoAnswer;
   const milliseconds age(reply_->age_ms());
   options_.apply(*reply_);
   if (!reply_->leader_address().empty())
@@ -151,12 +186,21 @@
     ChooseOrder();
   }
   if (age > kMaxViewAge)
-    co_return false;
-  if (fresh_at_ == support::TimePoint())
-    support::LogInfo("control.found", {{"control", control}});
+    co_return SyncEnd::kOldView;
+  NoteCurrent(sent_at - age);
+  co_return SyncEnd::kCurrent;
+}
+
+void ControlLink::NoteCurrent(support::TimePoint as_of) {
+  if (!std::exchange(in_touch_, true)) {
+    nlohmann::json fields = {{"control", order_[current_]}};
+    if (fresh_at_ != support::TimePoint())
+      fields["away_ms"] =
+          std::chrono::duration_cast<milliseconds>(as_of - fresh_at_).count();
+    support::LogInfo("control.found", fields);
+  }
   moves_since_answer_ = 0;
-  fresh_at_ = std::max(fresh_at_, sent_at - age);
-  co_return true;
+  fresh_at_ = std::max(fresh_at_, as_of);
 }
 
 }  // namespace yuccastair::relay
--- a/lib/relay/control_link.h
+++ b/lib/relay/control_link.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "envelope.pb.h"
+#include "yuccastair/observe/metrics.h"
 #include "yuccastair/stream/types.h"
 #include "yuccastair/support/clock.h"
 #include "yuccastair/wire/transport.h"
@@ -36,6 +37,7 @@
 
   ControlLink(stream::asio::io_context& context,
               const support::Clock& clock,
+              observe::Metrics& metrics,
               Options options);
 
   /// Syncs now in place of at the end of the interval.
@@ -47,15 +49,29 @@
   support::TimePoint fresh_at() const { return fresh_at_; }
 
  private:
+  /// What came of one sync.
+  enum class SyncEnd {
+    kCurrent,
+    /// The request found no connection, so it was never sent.
+    kNotConnected,
+    /// The request was sent, and no answer came in time.
+    kNoAnswer,
+    /// The answer came from a control process whose own view is old.
+    kOldView,
+  };
+
+  static const char* ToString(SyncEnd end);
   void OnAnswer(wire::Envelope envelope);
+  void OnUndelivered(const wire::Envelope& envelope);
   stream::Task<void> Run();
-  stream::Task<bool> SyncOnce();
-  bool Apply(const wire::SyncReply& reply);
-  bool Move();
+  stream::Task<SyncEnd> SyncOnce();
+  void NoteCurrent(support::TimePoint as_of);
+  bool Move(SyncEnd end);
   void ChooseOrder();
 
   stream::asio::io_context& context_;
   const support::Clock& clock_;
+  observe::Metrics& metrics_;
   Options options_;
   // Addresses that the control processes report; empty before the first sync.
   std::vector<std::string> reported_;
@@ -67,7 +83,12 @@
   std::uint64_t next_correlation_ = 1;
   std::uint64_t awaited_ = 0;
   std::optional<wire::SyncReply> reply_;
+  // Whether the awaited request was dropped for want of a connection.
+  bool undelivered_ = false;
+  // The epoch before the first current answer.
   support::TimePoint fresh_at_;
+  // Whether the last sync was answered with a current view.
+  bool in_touch_ = false;
   bool wake_requested_ = false;
   // Wait for an answer, and for the next sync.
   stream::asio::steady_timer answered_;
--- a/lib/relay/entry.cc
+++ b/lib/relay/entry.cc
@@ -63,6 +63,13 @@
   return list;
 }
 
+nlohmann::json ToJson(const std::vector<routing::Excluded>& excluded) {
+  nlohmann::json members = nlohmann::json::object();
+  for (const routing::Excluded& member : excluded)
+    members[member.node_id] = member.reason;
+  return members;
+}
+
 /// Seconds with three decimals, as Retry-After carries them.
 std::string ToSeconds(milliseconds time) {
   const std::string fraction = std::to_string(1000 + time.count() % 1000);
@@ -232,6 +239,7 @@
   while (true) {
     const auto choice = service.router.Choose(call.idempotent, request.tried);
     if (!choice) {
+      request.excluded = service.router.ExplainNone(request.tried);
       if (failure)
         result = std::move(*failure);
       co_return result;
@@ -400,22 +408,24 @@
   const auto left_out = lines_.Take();
   if (!left_out)
     return;
-  support::LogInfo(
-      "request.ended",
-      {{"request", request.call.request_id},
-       {"status", status},
-       {"reason", reason},
-       {"route", request.call.route},
-       {"service", request.call.service},
-       {"organisation", request.call.organisation},
-       {"importance", wire::Importance_Name(request.call.importance)},
-       {"attempts", ToJson(request.attempts)},
-       {"reached", request.reached},
-       {"policy", request.policy ? request.policy->version() : 0},
-       {"lines_left_out", *left_out},
-       {"ms", std::chrono::duration_cast<milliseconds>(parts_.clock.Now() -
-                                                       request.began)
-                  .count()}});
+  nlohmann::json fields = {
+      {"request", request.call.request_id},
+      {"status", status},
+      {"reason", reason},
+      {"route", request.call.route},
+      {"service", request.call.service},
+      {"organisation", request.call.organisation},
+      {"importance", wire::Importance_Name(request.call.importance)},
+      {"attempts", ToJson(request.attempts)},
+      {"reached", request.reached},
+      {"policy", request.policy ? request.policy->version() : 0},
+      {"lines_left_out", *left_out},
+      {"ms", std::chrono::duration_cast<milliseconds>(parts_.clock.Now() -
+                                                      request.began)
+                 .count()}};
+  if (request.excluded)
+    fields["members_left_out"] = ToJson(*request.excluded);
+  support::LogInfo("request.ended", fields);
 }
 
 }  // namespace yuccastair::relay
--- a/lib/relay/entry.h
+++ b/lib/relay/entry.h
@@ -4,6 +4,7 @@
 #define YUCCASTAIR_LIB_RELAY_ENTRY_H_
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -67,6 +68,8 @@
     std::vector<std::string> tried;
     std::uint32_t reached = 0;
     std::vector<AttemptNote> attempts;
+    // Where no target could be chosen: the members that were known.
+    std::optional<std::vector<routing::Excluded>> excluded;
     // Whether a target may have run the request, so that no refusal may say
     // that it has not.
     bool may_have_run = false;
--- a/lib/relay/relay.cc
+++ b/lib/relay/relay.cc
@@ -67,7 +67,7 @@
                [this](const wire::RateRequest& request) {
                  link_.SendRateRequest(request);
                }),
-        link_(context_, clock_, LinkOptions()),
+        link_(context_, clock_, metrics_, LinkOptions()),
         entry_({clock_, adapter_.headers, fleet_, target_proxy_, peers_, rates_,
                 metrics_},
                settings_.id,
@@ -99,6 +99,10 @@
                                 return HandleMetrics(exchange);
                               });
     target_proxy_.on_state_changed = [this] { link_.Wake(); };
+    metrics_.RegisterGauge("yuccastair_control_view_age_seconds", [this] {
+      return std::chrono::duration<double>(clock_.Now() - link_.fresh_at())
+          .count();
+    });
   }
 
   void Run() {
--- a/lib/routing/router.cc
+++ b/lib/routing/router.cc
@@ -52,23 +52,43 @@
     it = present.count(it->first) > 0 ? std::next(it) : targets_.erase(it);
 }
 
-bool Router::Accepts(const Target& target) const {
-  if (zones_out_.count(target.member.availability_zone()) > 0)
-    return false;
-  // An older report may tell of a drain or outage that has ended since.
+/// An older report may tell of a drain or outage that has ended since.
+wire::TargetState Router::StateOf(const Target& target) const {
   const bool recent =
       target.report && clock_.Now() - target.reported_at < kReportedStateHolds;
-  const wire::TargetState state =
-      recent ? target.report->state() : target.member.state();
+  return recent ? target.report->state() : target.member.state();
+}
+
+bool Router::IsZoneOut(const Target& target) const {
+  return zones_out_.count(target.member.availability_zone()) > 0;
+}
+
+bool Router::Accepts(const Target& target) const {
+  if (IsZoneOut(target))
+    return false;
+  const wire::TargetState state = StateOf(target);
   return state == wire::TARGET_STATE_UP || state == wire::TARGET_STATE_COLD;
 }
 
 bool Router::BeyondRamp(const Target& target) const {
-  const bool reported =
-      target.report && clock_.Now() - target.reported_at < kReportedStateHolds;
-  const wire::TargetState state =
-      reported ? target.report->state() : target.member.state();
-  return state == wire::TARGET_STATE_COLD && Load(target) >= Limit(target);
+  return StateOf(target) == wire::TARGET_STATE_COLD &&
+         Load(target) >= Limit(target);
+}
+
+std::vector<Excluded> Router::ExplainNone(
+    const std::vector<std::string>& tried) const {
+  std::vector<Excluded> excluded;
+  for (const auto& [node_id, target] : targets_) {
+    std::string reason = "beyond its ramp";
+    if (std::find(tried.begin(), tried.end(), node_id) != tried.end())
+      reason = "tried";
+    else if (IsZoneOut(target))
+      reason = "zone out of service";
+    else if (!Accepts(target))
+      reason = wire::TargetState_Name(StateOf(target));
+    excluded.push_back({node_id, reason});
+  }
+  return excluded;
 }
 
 bool Router::ProbeDue(const Target& target, bool idempotent) const {
--- a/unittests/relay/control_link_test.cc
+++ b/unittests/relay/control_link_test.cc
@@ -23,7 +23,8 @@
     options.apply = [](const wire::SyncReply&) {};
     options.apply_grant = [](const wire::RateGrant&) {};
     options.refresh_seeds = [this] { ++refreshed_; };
-    link_ = std::make_unique<ControlLink>(context_, clock_, std::move(options));
+    link_ = std::make_unique<ControlLink>(context_, clock_, metrics_,
+                                          std::move(options));
   }
 
   template <typename Condition>
@@ -39,6 +40,7 @@
 
   stream::asio::io_context context_;
   support::SteadyClock clock_;
+  observe::Metrics metrics_;
   int refreshed_ = 0;
   std::unique_ptr<ControlLink> link_;
 };
@@ -62,6 +64,24 @@
   CHECK(RunUntil([&] { return IsFresh(); }));
 }
 
+// Guards against a log that does not tell a path that is cut from a control
+// process that does not answer or is behind.
+TEST_CASE_METHOD(LinkFixture, "a vain sync is counted under its reason") {
+  const auto lost = [this](const std::string& reason) {
+    return metrics_.CounterValue("yuccastair_control_lost_total",
+                                 {{"reason", reason}});
+  };
+  SECTION("nobody listens") {
+    Start({"127.0.0.1:26009"});
+    CHECK(RunUntil([&] { return lost("no connection") > 0; }));
+  }
+  SECTION("the view is old") {
+    ControlStandIn control("127.0.0.1:26010", 5000);
+    Start({"127.0.0.1:26010"});
+    CHECK(RunUntil([&] { return lost("old view") > 0; }));
+  }
+}
+
 // Guards against seeds that are never read again after all have moved.
 TEST_CASE_METHOD(LinkFixture, "seeds are read anew when nobody answers") {
   Start({"127.0.0.1:26005"});
--- a/unittests/routing/router_test.cc
+++ b/unittests/routing/router_test.cc
@@ -254,5 +254,21 @@
   CHECK_FALSE(router_.AllOverloaded());
 }
 
+// Guards against a refusal for want of targets that nobody can trace.
+TEST_CASE_METHOD(RouterFixture, "each member that is left out has a reason") {
+  Add("tried");
+  Add("out", "z2");
+  Add("draining", "z1", wire::TARGET_STATE_DRAINING);
+  router_.SetZonesOut({"z2"});
+  REQUIRE_FALSE(router_.Choose(true, {"tried"}));
+  std::map<std::string, std::string> reasons;
+  for (const Excluded& member : router_.ExplainNone({"tried"}))
+    reasons[member.node_id] = member.reason;
+  CHECK(reasons == std::map<std::string, std::string>{
+                       {"tried", "tried"},
+                       {"out", "zone out of service"},
+                       {"draining", "TARGET_STATE_DRAINING"}});
+}
+
 }  // namespace
 }  // namespace yuccastair::routing
