Add failing tests for links that stay down after a cut has healed

wire_path_loss_test: a transport whose connection attempt lost its packets for 12 s has no answer 3 s after the port works; nor has one whose connection was taken but never greeted. The lost packets come from a listener whose queue is full, for which the kernel drops them. relay_control_link_loss_test: a relay whose seeds are gone never asks the control process again that an answer had named.

--- a/unittests/control_stand_in.h
+++ b/unittests/control_stand_in.h
@@ -7,16 +7,21 @@
 #include <cstdint>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "yuccastair/wire/transport.h"
 
 namespace yuccastair {
 
-/// Answers each sync with a view of a given age.
+/// Answers each sync with a view of a given age and the control processes that
+/// it is told.
 class ControlStandIn {
  public:
-  ControlStandIn(const std::string& listen, std::uint32_t age_ms)
+  ControlStandIn(const std::string& listen,
+                 std::uint32_t age_ms,
+                 std::vector<std::string> reported = {})
       : age_ms_(age_ms),
+        reported_(std::move(reported)),
         transport_({.listen = listen, .curve = std::nullopt},
                    {.on_request =
                         [this](const wire::ReplyRoute& route,
@@ -36,10 +41,13 @@
     wire::Envelope answer;
     answer.set_correlation(request.correlation());
     answer.mutable_sync_reply()->set_age_ms(age_ms_);
+    for (const std::string& address : reported_)
+      answer.mutable_sync_reply()->add_control_addresses(address);
     transport_.Reply(route, std::move(answer));
   }
 
   const std::uint32_t age_ms_;
+  const std::vector<std::string> reported_;
   std::atomic<int> asked_ = 0;
   wire::Transport transport_;
 };
--- /dev/null
+++ b/unittests/relay/control_link_loss_test.cc
@@ -0,0 +1,33 @@
+// A relay that has lost all control processes, and how it finds one again.
+
+#include <catch2/catch.hpp>
+#include <memory>
+
+#include "control_stand_in.h"
+#include "link_fixture.h"
+
+namespace yuccastair::relay {
+namespace {
+
+constexpr const char* kSeed = "127.0.0.1:26021";
+constexpr const char* kOther = "127.0.0.1:26022";
+
+// Guards against a relay that forgets the control processes it was told of and
+// asks only seeds that are gone.
+TEST_CASE_METHOD(LinkFixture,
+                 "a control process that is no seed is found again") {
+  auto seed = std::make_unique<ControlStandIn>(
+      kSeed, 0, std::vector<std::string>{kOther});
+  Start({kSeed});
+  REQUIRE(RunUntil([&] { return seed->asked() > 0; }));
+  const int before = refreshed_;
+  REQUIRE(RunUntil([&] { return refreshed_ > before; }));
+  seed.reset();
+  const int lost = refreshed_;
+  REQUIRE(RunUntil([&] { return refreshed_ > lost + 1; }));
+  const ControlStandIn other(kOther, 0);
+  CHECK(RunUntil([&] { return other.asked() > 0; }));
+}
+
+}  // namespace
+}  // namespace yuccastair::relay
--- a/unittests/relay/control_link_test.cc
+++ b/unittests/relay/control_link_test.cc
@@ -1,50 +1,13 @@
 // Which control process a relay asks when one does not answer or is cut off.
 
-#include "control_link.h"
-
-#include <algorithm>
 #include <catch2/catch.hpp>
-#include <memory>
 
 #include "control_stand_in.h"
+#include "link_fixture.h"
 
 namespace yuccastair::relay {
 namespace {
 
-using namespace std::chrono_literals;
-
-class LinkFixture {
- protected:
-  void Start(std::vector<std::string> seeds) {
-    ControlLink::Options options;
-    options.seeds = std::move(seeds);
-    options.node_id = "node";
-    options.fill = [](wire::SyncRequest&) {};
-    options.apply = [](const wire::SyncReply&) {};
-    options.apply_grant = [](const wire::RateGrant&) {};
-    options.refresh_seeds = [this] { ++refreshed_; };
-    link_ = std::make_unique<ControlLink>(context_, clock_, metrics_,
-                                          std::move(options));
-  }
-
-  template <typename Condition>
-  bool RunUntil(Condition condition) {
-    const support::TimePoint end = clock_.Now() + 30s;
-    while (!condition() && clock_.Now() < end)
-      context_.run_for(10ms);
-    return condition();
-  }
-
-  /// Whether what the relay knows is less old than an old view.
-  bool IsFresh() const { return clock_.Now() - link_->fresh_at() < 4s; }
-
-  stream::asio::io_context context_;
-  support::SteadyClock clock_;
-  observe::Metrics metrics_;
-  int refreshed_ = 0;
-  std::unique_ptr<ControlLink> link_;
-};
-
 // Guards against a relay that stays with a control process whose view is old,
 // and so misses a policy that is in force everywhere else.
 TEST_CASE_METHOD(LinkFixture, "a control process with an old view is left") {
@@ -94,9 +57,9 @@
 // Guards against a division by the number of addresses where there are none.
 TEST_CASE_METHOD(LinkFixture, "a relay without seeds waits for some") {
   Start({"127.0.0.1:26007"});
-  context_.run_for(20ms);
+  context_.run_for(std::chrono::milliseconds(20));
   link_->SetSeeds({});
-  context_.run_for(1000ms);
+  context_.run_for(std::chrono::seconds(1));
   ControlStandIn control("127.0.0.1:26008", 0);
   link_->SetSeeds({"127.0.0.1:26008"});
   CHECK(RunUntil([&] { return IsFresh(); }));
--- /dev/null
+++ b/unittests/relay/link_fixture.h
@@ -0,0 +1,52 @@
+// A link to control processes on an io_context that the test runs.
+
+#ifndef YUCCASTAIR_UNITTESTS_RELAY_LINK_FIXTURE_H_
+#define YUCCASTAIR_UNITTESTS_RELAY_LINK_FIXTURE_H_
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "control_link.h"
+
+namespace yuccastair::relay {
+
+class LinkFixture {
+ protected:
+  void Start(std::vector<std::string> seeds) {
+    ControlLink::Options options;
+    options.seeds = std::move(seeds);
+    options.node_id = "node";
+    options.fill = [](wire::SyncRequest&) {};
+    options.apply = [](const wire::SyncReply&) {};
+    options.apply_grant = [](const wire::RateGrant&) {};
+    options.refresh_seeds = [this] { ++refreshed_; };
+    link_ = std::make_unique<ControlLink>(context_, clock_, metrics_,
+                                          std::move(options));
+  }
+
+  template <typename Condition>
+  bool RunUntil(Condition condition) {
+    const support::TimePoint end = clock_.Now() + std::chrono::seconds(30);
+    while (!condition() && clock_.Now() < end)
+      context_.run_for(std::chrono::milliseconds(10));
+    return condition();
+  }
+
+  /// Whether what the relay knows is less old than an old view.
+  bool IsFresh() const {
+    return clock_.Now() - link_->fresh_at() < std::chrono::seconds(4);
+  }
+
+  stream::asio::io_context context_;
+  support::SteadyClock clock_;
+  observe::Metrics metrics_;
+  int refreshed_ = 0;
+  std::unique_ptr<ControlLink> link_;
+};
+
+}  // namespace yuccastair::relay
+
+#endif  // YUCCASTAIR_UNITTESTS_RELAY_LINK_FIXTURE_H_
--- /dev/null
+++ b/unittests/wire/path_loss_test.cc
@@ -0,0 +1,167 @@
+// How soon a transport uses a path that works again.
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <memory>
+#include <thread>
+#include <vector>
+
+#include "yuccastair/wire/transport.h"
+
+namespace yuccastair::wire {
+namespace {
+
+using namespace std::chrono_literals;
+using Clock = std::chrono::steady_clock;
+
+// A path that works again has to be used within this time.
+constexpr auto kRecovery = 3s;
+
+sockaddr_in LoopbackAddress(std::uint16_t port) {
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return address;
+}
+
+class Descriptor {
+ public:
+  explicit Descriptor(int flags = 0)
+      : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | flags, 0)) {}
+  ~Descriptor() { close(fd_); }
+  Descriptor(const Descriptor&) = delete;
+  Descriptor& operator=(const Descriptor&) = delete;
+  int get() const { return fd_; }
+
+ private:
+  const int fd_;
+};
+
+/// A port whose queue of new connections is full, so that the kernel drops the
+/// first packet of each further one, as a cut path does.
+class DroppedConnections {
+ public:
+  explicit DroppedConnections(std::uint16_t port) {
+    const int on = 1;
+    setsockopt(listener_.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    sockaddr_in address = LoopbackAddress(port);
+    auto* generic = reinterpret_cast<sockaddr*>(&address);
+    REQUIRE(bind(listener_.get(), generic, sizeof address) == 0);
+    REQUIRE(listen(listener_.get(), 0) == 0);
+    for (int i = 0; i < 3; ++i) {
+      fillers_.push_back(std::make_unique<Descriptor>(SOCK_NONBLOCK));
+      // Stays under way: nobody accepts it.
+      (void)connect(fillers_.back()->get(), generic, sizeof address);
+    }
+  }
+
+ private:
+  Descriptor listener_;
+  std::vector<std::unique_ptr<Descriptor>> fillers_;
+};
+
+/// A port that takes one connection and says nothing on it, which stays open.
+class SilentConnection {
+ public:
+  explicit SilentConnection(std::uint16_t port) {
+    Descriptor listener;
+    const int on = 1;
+    setsockopt(listener.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    sockaddr_in address = LoopbackAddress(port);
+    auto* generic = reinterpret_cast<sockaddr*>(&address);
+    REQUIRE(bind(listener.get(), generic, sizeof address) == 0);
+    REQUIRE(listen(listener.get(), 0) == 0);
+    fd_ = accept(listener.get(), nullptr, nullptr);
+  }
+  ~SilentConnection() { close(fd_); }
+  SilentConnection(const SilentConnection&) = delete;
+  SilentConnection& operator=(const SilentConnection&) = delete;
+
+ private:
+  int fd_ = -1;
+};
+
+/// Sends a request every 50 ms, as the links do, until one is answered.
+class Asker {
+ public:
+  explicit Asker(std::string address)
+      : address_(std::move(address)),
+        transport_({.listen = "", .curve = std::nullopt},
+                   {.on_request = nullptr,
+                    .on_answer = [this](const std::string&,
+                                        const Envelope&) { ++answers_; },
+                    .on_undelivered = nullptr,
+                    .on_tick = nullptr}) {}
+
+  /// Returns whether a request was answered within \p limit.
+  bool AskFor(Clock::duration limit) {
+    const auto end = Clock::now() + limit;
+    while (Clock::now() < end) {
+      Envelope envelope;
+      envelope.mutable_ping();
+      transport_.Send(address_, std::move(envelope));
+      std::this_thread::sleep_for(50ms);
+      if (answers_ > 0)
+        return true;
+    }
+    return false;
+  }
+
+ private:
+  const std::string address_;
+  std::atomic<int> answers_ = 0;
+  Transport transport_;
+};
+
+/// Answers every request.
+std::unique_ptr<Transport> StartAnswering(const std::string& listen) {
+  auto self = std::make_shared<std::atomic<Transport*>>(nullptr);
+  auto transport = std::make_unique<Transport>(
+      Transport::Options{.listen = listen, .curve = std::nullopt},
+      Transport::Handlers{
+          .on_request =
+              [self](const ReplyRoute& route, const Envelope& request) {
+                Envelope pong;
+                pong.set_correlation(request.correlation());
+                pong.mutable_pong();
+                if (Transport* sender = self->load())
+                  sender->Reply(route, std::move(pong));
+              },
+          .on_answer = nullptr,
+          .on_undelivered = nullptr,
+          .on_tick = nullptr});
+  *self = transport.get();
+  return transport;
+}
+
+// Guards against a relay that keeps an old policy after a cut has healed, since
+// its attempt to connect waits for the next try of the kernel.
+TEST_CASE("a path that dropped connections is used soon after it works again") {
+  Asker asker("127.0.0.1:23151");
+  auto dropped = std::make_unique<DroppedConnections>(23151);
+  // The kernel's tries are several seconds apart by then.
+  REQUIRE_FALSE(asker.AskFor(12s));
+  dropped.reset();
+  const auto server = StartAnswering("127.0.0.1:23151");
+  CHECK(asker.AskFor(kRecovery));
+}
+
+// Guards against a connection that was opened just before a cut and whose
+// greeting was lost.
+TEST_CASE("a connection without a greeting is replaced soon") {
+  Asker asker("127.0.0.1:23152");
+  REQUIRE_FALSE(asker.AskFor(50ms));
+  const SilentConnection silent(23152);
+  const auto server = StartAnswering("127.0.0.1:23152");
+  CHECK(asker.AskFor(kRecovery));
+}
+
+}  // namespace
+}  // namespace yuccastair::wire
