Bound every silent state of a connection between processes

What callers saw: for 3 to 4 s after the end of a cut, relays followed an old policy and sent requests into a zone that had been taken out.

Cause: libzmq leaves an attempt to connect to the kernel, which repeats a lost first packet after 1, 3, 7 and 15 s. Heartbeats close a connection 1.5 to 2 s into a cut, so the new attempt begins inside the cut, and a path that works again is used only at the kernel's next try. The same holds for a connection whose greeting was lost (30 s until libzmq gives up).

Evidence: all relays that were cut off from 2.0 to 7.5 s say "no connection" until 11.03 to 11.17 s.

Change: attempts end after 500 ms, handshakes after 1 s, unacknowledged data after the time of the heartbeats, and the pause between attempts is at most 400 ms (1 s before). It works since each of the four states in which a connection can be silent now ends by a time of our own.

wire_path_loss_test failed before (no answer 3 s after the loss, both cases) and passes: the whole case takes 12.18 s, of which 12 s are the loss.

--- a/lib/wire/transport.cc
+++ b/lib/wire/transport.cc
@@ -30,6 +30,13 @@
 // anew: its peer may be gone, or a device in between may have lost its state.
 constexpr std::chrono::milliseconds kHeartbeatInterval{500};
 constexpr std::chrono::milliseconds kHeartbeatTimeout{1500};
+// An attempt to connect is given up after this time and made anew: the kernel
+// repeats a lost first packet only after ever longer pauses.
+constexpr std::chrono::milliseconds kConnectAttempt{500};
+// Heartbeats begin once both ends have greeted each other.
+constexpr std::chrono::milliseconds kHandshakeTimeout{1000};
+constexpr std::chrono::milliseconds kMinReconnectPause{50};
+constexpr std::chrono::milliseconds kMaxReconnectPause{400};
 constexpr int kMaxReceivedPerWakeup = 256;
 constexpr std::chrono::milliseconds kRetryInterval{2};
 
@@ -131,7 +138,7 @@
     router_.set(zmq::sockopt::sndhwm, 4096);
     router_.set(zmq::sockopt::rcvhwm, 16384);
     router_.set(zmq::sockopt::backlog, 1024);
-    SetHeartbeat(router_);
+    BoundSilence(router_);
     if (options_.curve) {
       router_.set(zmq::sockopt::curve_server, true);
       router_.set(zmq::sockopt::curve_secretkey, options_.curve->secret_key);
@@ -144,10 +151,15 @@
     }
   }
 
-  static void SetHeartbeat(zmq::socket_t& socket) {
+  /// Bounds each state in which a connection can be silent by a time of our
+  /// own, so that none waits for the kernel.
+  static void BoundSilence(zmq::socket_t& socket) {
     socket.set(zmq::sockopt::heartbeat_ivl, ToMilliseconds(kHeartbeatInterval));
     socket.set(zmq::sockopt::heartbeat_timeout,
                ToMilliseconds(kHeartbeatTimeout));
+    socket.set(zmq::sockopt::tcp_maxrt, ToMilliseconds(kHeartbeatTimeout));
+    socket.set(zmq::sockopt::handshake_ivl, ToMilliseconds(kHandshakeTimeout));
+    socket.set(zmq::sockopt::connect_timeout, ToMilliseconds(kConnectAttempt));
   }
 
   Peer& ConnectedPeer(const std::string& address) {
@@ -161,9 +173,11 @@
     // Queue only on an established connection, so that a request never waits
     // for a dead peer to come back.
     peer.socket.set(zmq::sockopt::immediate, true);
-    peer.socket.set(zmq::sockopt::reconnect_ivl, 50);
-    peer.socket.set(zmq::sockopt::reconnect_ivl_max, 1000);
-    SetHeartbeat(peer.socket);
+    peer.socket.set(zmq::sockopt::reconnect_ivl,
+                    ToMilliseconds(kMinReconnectPause));
+    peer.socket.set(zmq::sockopt::reconnect_ivl_max,
+                    ToMilliseconds(kMaxReconnectPause));
+    BoundSilence(peer.socket);
     if (options_.curve) {
       peer.socket.set(zmq::sockopt::curve_serverkey,
                       options_.curve->public_key);
