Keep the control processes that were reported beside the seeds

What callers see: a relay that has lost all control processes once asks only the seeds from its settings. Where the seeds are gone, by replacement or behind a cut, it keeps its policy and zones for good.

Cause: after one vain round the reported addresses were dropped in favour of the seeds, as if a vain round meant that all had moved.

Change: the reported ones are asked first, then the seeds; both stay.

control_link_loss_test failed before (never asked within 30 s) and passes. It no longer waits for a vain round while the seed still answers, which happened only because the reported address hid the seed; with the earlier code it fails as it stands now, too.

--- a/lib/relay/control_link.cc
+++ b/lib/relay/control_link.cc
@@ -53,10 +53,16 @@
   stream::asio::co_spawn(context_, Run(), stream::asio::detached);
 }
 
+/// Those that were reported come first. The seeds may be gone, and are the only
+/// way back where all that were reported have been replaced.
 void ControlLink::ChooseOrder() {
   const std::string asked = order_.empty() ? "" : order_[current_];
-  order_ = membership::OrderForNode(
-      reported_.empty() ? options_.seeds : reported_, options_.node_id);
+  order_ = membership::OrderForNode(reported_, options_.node_id);
+  for (const std::string& seed :
+       membership::OrderForNode(options_.seeds, options_.node_id)) {
+    if (std::find(order_.begin(), order_.end(), seed) == order_.end())
+      order_.push_back(seed);
+  }
   const auto found = std::find(order_.begin(), order_.end(), asked);
   current_ = found == order_.end()
                  ? 0
@@ -65,8 +71,7 @@
 
 void ControlLink::SetSeeds(std::vector<std::string> seeds) {
   options_.seeds = std::move(seeds);
-  if (reported_.empty())
-    ChooseOrder();
+  ChooseOrder();
 }
 
 void ControlLink::Wake() {
@@ -96,8 +101,10 @@
 }
 
 void ControlLink::OnUndelivered(const wire::Envelope& envelope) {
-  if (awaited_ != 0 && envelope.correlation() == awaited_)
-    undelivered_ = true;
+  if (awaited_ == 0 || envelope.correlation() != awaited_)
+    return;
+  undelivered_ = true;
+  answered_.cancel();
 }
 
 const char* ControlLink::ToString(SyncEnd end) {
@@ -131,7 +138,7 @@
 }
 
 /// Turns to the next control process. Once all that are known have been asked
-/// in vain, all may have changed address, and the seeds are asked again.
+/// in vain, all may have changed address, and the seeds are read again.
 /// Returns whether there is one that has not been asked in this round.
 bool ControlLink::Move(SyncEnd end) {
   in_touch_ = false;
@@ -154,10 +161,8 @@
   if (++moves_since_answer_ < order_.size())
     return true;
   moves_since_answer_ = 0;
-  reported_.clear();
   if (options_.refresh_seeds)
     options_.refresh_seeds();
-  ChooseOrder();
   return false;
 }
 
--- a/lib/relay/control_link.h
+++ b/lib/relay/control_link.h
@@ -30,8 +30,8 @@
     std::function<void(wire::SyncRequest&)> fill;
     std::function<void(const wire::SyncReply&)> apply;
     std::function<void(const wire::RateGrant&)> apply_grant;
-    /// Called when no control process that is known answers, and before the
-    /// seeds are asked: the settings may have changed without a signal.
+    /// Called when no control process that is known answers: the seeds in the
+    /// settings may have changed without a signal.
     std::function<void()> refresh_seeds;
   };
 
--- a/unittests/relay/control_link_loss_test.cc
+++ b/unittests/relay/control_link_loss_test.cc
@@ -20,11 +20,10 @@
       kSeed, 0, std::vector<std::string>{kOther});
   Start({kSeed});
   REQUIRE(RunUntil([&] { return seed->asked() > 0; }));
-  const int before = refreshed_;
-  REQUIRE(RunUntil([&] { return refreshed_ > before; }));
+  REQUIRE(RunUntil([&] { return IsFresh(); }));
   seed.reset();
-  const int lost = refreshed_;
-  REQUIRE(RunUntil([&] { return refreshed_ > lost + 1; }));
+  const int before = refreshed_;
+  REQUIRE(RunUntil([&] { return refreshed_ > before + 1; }));
   const ControlStandIn other(kOther, 0);
   CHECK(RunUntil([&] { return other.asked() > 0; }));
 }
