Let leases and ages run while an instance is suspended

Cause: the leader's lease, token leases and the freshness of a node's settings were counted on the monotonic clock, which stands still while an instance is suspended, though others elect a leader and count leases as ended meanwhile. A leader that wakes could answer reads from an old state, and a node spend tokens or honour keys that are gone.

Change: control processes, the token leases of relay and node, and the node's freshness use the time since boot, which includes suspensions. Timers keep the monotonic clock.

Ruled out: a lease by the time of day, which is stepped.

--- a/include/yuccastair/support/clock.h
+++ b/include/yuccastair/support/clock.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace yuccastair::support {
 
@@ -18,12 +19,28 @@
   virtual TimePoint Now() const = 0;
 };
 
-/// The monotonic clock of the machine; clock steps do not affect it.
+/// The monotonic clock of the machine; clock steps do not affect it. It stands
+/// still while the machine is suspended, as the timers do, so it must not
+/// decide how long a promise of another process holds.
 class SteadyClock final : public Clock {
  public:
   TimePoint Now() const override { return std::chrono::steady_clock::now(); }
 };
 
+/// The time since the machine was started, suspensions included: for leases and
+/// for the age of what other processes have said. Its times are not those of
+/// timers.
+class BootClock final : public Clock {
+ public:
+  TimePoint Now() const override {
+    timespec time{};
+    // Cannot fail: the clock exists on every Linux, and the argument is valid.
+    (void)clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint(std::chrono::seconds(time.tv_sec) +
+                     std::chrono::nanoseconds(time.tv_nsec));
+  }
+};
+
 /// A clock that moves only when told to. Not safe for use by several threads.
 class ManualClock final : public Clock {
  public:
--- a/lib/control/control.cc
+++ b/lib/control/control.cc
@@ -147,21 +147,22 @@
   }
 
   wire::Transport::Handlers TransportHandlers() {
-    return {.on_request =
-                [this](const wire::ReplyRoute& route, wire::Envelope envelope) {
-                  events_.TryPush(PeerRequest{route, std::move(envelope)});
-                },
-            .on_answer =
-                [this](const std::string& address, wire::Envelope envelope) {
-                  events_.TryPush(PeerAnswer{address, std::move(envelope)});
-                },
-            .on_undelivered =
-                [this](const std::string& address, wire::Envelope envelope) {
-                  if (envelope.has_policy_request())
-                    events_.TryPush(
-                        UndeliveredOperation{address, envelope.correlation()});
-                },
-            .on_tick = nullptr};
+    return {
+        .on_request =
+            [this](const wire::ReplyRoute& route, wire::Envelope envelope) {
+              events_.TryPush(PeerRequest{route, std::move(envelope)});
+            },
+        .on_answer =
+            [this](const std::string& address, wire::Envelope envelope) {
+              events_.TryPush(PeerAnswer{address, std::move(envelope)});
+            },
+        .on_undelivered =
+            [this](const std::string& address, const wire::Envelope& envelope) {
+              if (envelope.has_policy_request())
+                events_.TryPush(
+                    UndeliveredOperation{address, envelope.correlation()});
+            },
+        .on_tick = nullptr};
   }
 
   SyncService::Options SyncOptions() {
@@ -365,7 +366,8 @@
   }
 
   const Settings settings_;
-  const support::SteadyClock clock_{};
+  // Leases of the leader and of rates must end while the instance is suspended.
+  const support::BootClock clock_{};
   observe::EventLog event_log_;
   // Owned by the core thread.
   membership::Registry registry_;
--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -78,7 +78,7 @@
         crashes_(leader_channel_),
         sync_(SyncOptions(), transport_, pending_),
         authoriser_(shared_settings_,
-                    clock_,
+                    boot_clock_,
                     [this] { return sync_.fresh_at(); }),
         rates_(settings_.id, incarnation_, leader_channel_),
         claims_(leader_channel_),
@@ -135,7 +135,7 @@
       return static_cast<double>(shared_settings_.Current()->version());
     });
     metrics.RegisterGauge("yuccastair_state_age_seconds", [this] {
-      return std::chrono::duration<double>(clock_.Now() - sync_.fresh_at())
+      return std::chrono::duration<double>(boot_clock_.Now() - sync_.fresh_at())
           .count();
     });
   }
@@ -311,6 +311,7 @@
   // request comes in while the rest is taken down.
   const Settings settings_;
   const support::SteadyClock clock_{};
+  const support::BootClock boot_clock_{};
   const std::string incarnation_;
   const std::uint64_t started_ms_;
   // Used by the sync thread alone.
--- a/lib/node/rate_gate.cc
+++ b/lib/node/rate_gate.cc
@@ -25,7 +25,7 @@
 RateGate::RateGate(const std::string& node_id,
                    const std::string& incarnation,
                    LeaderChannel& leader)
-    : leader_(leader), leases_(clock_, node_id, incarnation) {
+    : leader_(leader), leases_(lease_clock_, node_id, incarnation) {
   thread_ = std::thread([this] { Run(); });
 }
 
--- a/lib/node/rate_gate.h
+++ b/lib/node/rate_gate.h
@@ -45,6 +45,7 @@
 
   LeaderChannel& leader_;
   const support::SteadyClock clock_{};
+  const support::BootClock lease_clock_{};
   std::mutex mutex_;
   // For requests that wait for a token.
   std::condition_variable granted_;
--- a/lib/node/sync_client.cc
+++ b/lib/node/sync_client.cc
@@ -71,7 +71,7 @@
   options_.fill(*envelope.mutable_sync_request());
   const std::uint64_t correlation = pending_.Begin();
   envelope.set_correlation(correlation);
-  const auto sent_at = support::SteadyClock().Now();
+  const auto sent_at = support::BootClock().Now();
   transport_.Send(control, std::move(envelope));
   const wire::Answer answer = pending_.Wait(correlation, options_.interval);
   if (answer.result != wire::WaitResult::kAnswered ||
--- a/lib/node/sync_client.h
+++ b/lib/node/sync_client.h
@@ -42,7 +42,8 @@
   /// Sends the next request now.
   void Wake();
 
-  /// Time at which the state of this node was last known to be current.
+  /// Time since boot at which the state of this node was last known to be
+  /// current.
   support::TimePoint fresh_at() const;
 
  private:
--- a/lib/relay/rate_guard.cc
+++ b/lib/relay/rate_guard.cc
@@ -25,13 +25,14 @@
 
 RateGuard::RateGuard(stream::asio::io_context& context,
                      const support::Clock& clock,
+                     const support::Clock& lease_clock,
                      const std::string& node_id,
                      const std::string& incarnation,
                      std::function<void(const wire::RateRequest&)> send)
     : context_(context),
       clock_(clock),
       send_(std::move(send)),
-      leases_(clock, node_id, incarnation) {}
+      leases_(lease_clock, node_id, incarnation) {}
 
 stream::Task<bool> RateGuard::Take(std::string organisation) {
   if (leases_.TryTake(organisation))
--- a/lib/relay/rate_guard.h
+++ b/lib/relay/rate_guard.h
@@ -25,9 +25,11 @@
 /// that is served. Used on the thread of its io_context.
 class RateGuard {
  public:
-  /// \p send sends a request to the leader.
+  /// \p clock is that of timers, \p lease_clock the one by which token leases
+  /// end. \p send sends a request to the leader.
   RateGuard(stream::asio::io_context& context,
             const support::Clock& clock,
+            const support::Clock& lease_clock,
             const std::string& node_id,
             const std::string& incarnation,
             std::function<void(const wire::RateRequest&)> send);
--- a/lib/relay/relay.cc
+++ b/lib/relay/relay.cc
@@ -62,6 +62,7 @@
         peers_(context_, clock_),
         rates_(context_,
                clock_,
+               boot_clock_,
                settings_.id,
                incarnation_,
                [this](const wire::RateRequest& request) {
@@ -353,6 +354,7 @@
   std::uint64_t sequence_ = 0;
   bool stopping_ = false;
   const support::SteadyClock clock_{};
+  const support::BootClock boot_clock_{};
   asio::io_context context_{1};
   observe::Metrics metrics_;
   Fleet fleet_;
--- /dev/null
+++ b/unittests/control/suspension_test.cc
@@ -0,0 +1,97 @@
+// Control processes whose instance was suspended: the monotonic clock stands
+// still for that time, the time since boot does not.
+
+#include <sys/syscall.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <ctime>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "log_prober.h"
+#include "temporary_dir.h"
+#include "yuccastair/control/control.h"
+
+namespace {
+
+std::atomic<std::time_t> g_suspended_seconds = 0;
+
+}  // namespace
+
+/// Replaces the function of the C library in this program.
+extern "C" int clock_gettime(clockid_t clock, timespec* time) noexcept {
+  const auto result = syscall(SYS_clock_gettime, clock, time);
+  if (clock == CLOCK_BOOTTIME)
+    time->tv_sec += g_suspended_seconds;
+  return static_cast<int>(result);
+}
+
+namespace yuccastair::control {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint16_t kFirstPort = 26041;
+constexpr int kProcesses = 3;
+constexpr auto kLimit = 30s;
+
+support::Address Local(int offset) {
+  return {.host = "127.0.0.1",
+          .port = static_cast<std::uint16_t>(kFirstPort + offset)};
+}
+
+class SuspensionFixture {
+ protected:
+  SuspensionFixture() {
+    for (int i = 0; i < kProcesses; ++i) {
+      Settings settings;
+      settings.id = "control-" + std::to_string(i);
+      settings.availability_zone = "z" + std::to_string(i);
+      settings.peer_listen = Local(i);
+      settings.operator_listen = Local(kProcesses + i);
+      settings.data_dir = (dir_.path() / settings.id).string();
+      for (int peer = 0; peer < kProcesses; ++peer)
+        settings.peers.push_back(Local(peer));
+      settings.member_expiry = 3s;
+      processes_.push_back(std::make_unique<Control>(std::move(settings)));
+    }
+  }
+
+  /// Returns the term of a leader with a valid lease, later than \p after; 0 if
+  /// there is none in time.
+  std::uint64_t WaitForTerm(std::uint64_t after) {
+    const auto end = std::chrono::steady_clock::now() + kLimit;
+    while (std::chrono::steady_clock::now() < end) {
+      for (int i = 0; i < kProcesses; ++i) {
+        auto answer = prober_.Send(Local(i).ToString(), "");
+        if (answer.wait_for(1s) != std::future_status::ready)
+          continue;
+        const Reply reply = answer.get();
+        if (reply && reply->current_leader() && reply->term() > after)
+          return reply->term();
+      }
+      std::this_thread::sleep_for(20ms);
+    }
+    return 0;
+  }
+
+  TemporaryDir dir_;
+  std::vector<std::unique_ptr<Control>> processes_;
+  LogProber prober_;
+};
+
+// Guards against a leader that answers reads from an old state because its
+// lease did not run while its instance was suspended.
+TEST_CASE_METHOD(SuspensionFixture, "a lease does not outlive a suspension") {
+  const std::uint64_t term = WaitForTerm(0);
+  REQUIRE(term > 0);
+  g_suspended_seconds = 10;
+  CHECK(WaitForTerm(term) > term);
+}
+
+}  // namespace
+}  // namespace yuccastair::control
--- a/unittests/node/sync_client_test.cc
+++ b/unittests/node/sync_client_test.cc
@@ -59,10 +59,10 @@
 
 TEST_CASE("freshness is the time of sending less the reported age") {
   const ControlStandIn control("127.0.0.1:26401", 60'000);
-  const auto started = support::SteadyClock().Now();
+  const auto started = support::BootClock().Now();
   const auto fresh = FreshAfter(3, "127.0.0.1:26401", true);
   CHECK(fresh >= started - milliseconds(60'000));
-  CHECK(fresh <= support::SteadyClock().Now() - milliseconds(60'000));
+  CHECK(fresh <= support::BootClock().Now() - milliseconds(60'000));
 }
 
 }  // namespace
--- a/unittests/relay/entry_test.cc
+++ b/unittests/relay/entry_test.cc
@@ -130,8 +130,8 @@
   Fleet fleet_{clock_, "a"};
   TargetProxy target_{context_, clock_, names_, 2000ms, metrics_};
   PeerClient peers_{context_, clock_};
-  RateGuard rates_{context_, clock_, "own", "1",
-                   [](const wire::RateRequest&) {}};
+  RateGuard rates_{context_, clock_, clock_,
+                   "own",    "1",    [](const wire::RateRequest&) {}};
   Entry entry_{{clock_, names_, fleet_, target_, peers_, rates_, metrics_},
                "own",
                "s"};
--- a/unittests/relay/rate_guard_test.cc
+++ b/unittests/relay/rate_guard_test.cc
@@ -56,7 +56,11 @@
   std::vector<wire::RateRequest> sent_;
   std::vector<bool> taken_;
   RateGuard guard_{
-      context_, clock_, "node", "incarnation",
+      context_,
+      clock_,
+      clock_,
+      "node",
+      "incarnation",
       [this](const wire::RateRequest& request) { sent_.push_back(request); }};
 };
 
