Answer an operation at once where the leader cannot be reached

What was left: a call that found no connection waited for its whole time, though it certainly had not been sent.

control_policy_service_test failed before (both cases).

--- a/lib/control/policy_service.cc
+++ b/lib/control/policy_service.cc
@@ -84,8 +84,10 @@
   const auto found = waiting_.find(number);
   if (found == waiting_.end())
     return;
-  found->second.undelivered = true;
+  const Done done = std::move(found->second.done);
+  waiting_.erase(found);
   support::LogWarning("policy.leader_unreachable", {{"leader", leader}});
+  done({});
 }
 
 void PolicyService::Tick() {
@@ -97,8 +99,7 @@
     }
     const Done done = std::move(it->second.done);
     support::LogWarning("policy.leader_silent",
-                        {{"leader", log_.LeaderAddress()},
-                         {"connected", !it->second.undelivered}});
+                        {{"leader", log_.LeaderAddress()}});
     it = waiting_.erase(it);
     done({});
   }
--- a/lib/control/policy_service.h
+++ b/lib/control/policy_service.h
@@ -44,7 +44,8 @@
 
   void HandleReply(std::uint64_t number, const wire::PolicyReply& reply);
 
-  /// An operation that was passed on found no connection to \p leader.
+  /// Answers an operation that found no connection to \p leader, so that its
+  /// caller can turn to another control process in time.
   void HandleUndelivered(std::uint64_t number, const std::string& leader);
 
   /// Gives up operations that wait too long.
@@ -57,8 +58,6 @@
   struct Waiting {
     Done done;
     support::TimePoint until;
-    // Whether it was dropped for want of a connection.
-    bool undelivered = false;
   };
 
   consensus::ReplicatedLog& log_;
--- /dev/null
+++ b/unittests/control/policy_service_test.cc
@@ -0,0 +1,57 @@
+// Operations on the policy that arrive at a follower.
+
+#include "policy_service.h"
+
+#include <catch2/catch.hpp>
+#include <optional>
+
+#include "fake_log.h"
+
+namespace yuccastair::control {
+namespace {
+
+class FollowerFixture {
+ protected:
+  FollowerFixture() { log_.leader = false; }
+
+  void Read() {
+    wire::PolicyRequest request;
+    request.mutable_read();
+    service_.Operate(
+        request, [this](const wire::PolicyReply& reply) { reply_ = reply; });
+  }
+
+  support::ManualClock clock_;
+  policy::PolicyTable table_;
+  FakeLog log_{table_};
+  std::uint64_t passed_on_ = 0;
+  std::optional<wire::PolicyReply> reply_;
+  PolicyService service_{
+      log_, table_, clock_,
+      [this](const std::string&,
+             std::uint64_t number,
+             const wire::PolicyRequest&) { passed_on_ = number; }};
+};
+
+// Guards against an operator who waits for the whole time of a call though the
+// leader cannot be reached, and only then asks another control process.
+TEST_CASE_METHOD(FollowerFixture,
+                 "an operation that finds no connection is answered at once") {
+  Read();
+  REQUIRE(passed_on_ != 0);
+  service_.HandleUndelivered(passed_on_, "127.0.0.1:1");
+  REQUIRE(reply_);
+  CHECK(reply_->status() == wire::POLICY_STATUS_UNAVAILABLE);
+}
+
+// Guards against an answer that comes twice.
+TEST_CASE_METHOD(FollowerFixture, "a late answer is dropped") {
+  Read();
+  service_.HandleUndelivered(passed_on_, "127.0.0.1:1");
+  reply_.reset();
+  service_.HandleReply(passed_on_, {});
+  CHECK_FALSE(reply_);
+}
+
+}  // namespace
+}  // namespace yuccastair::control
--- a/unittests/wire/path_loss_test.cc
+++ b/unittests/wire/path_loss_test.cc
@@ -5,7 +5,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
 #include <atomic>
+#include <boost/asio.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <memory>
@@ -88,6 +90,82 @@
   int fd_ = -1;
 };
 
+/// Passes connections on to another port. While one direction is cut, it loses
+/// what is sent that way, and the connections of that time stay silent.
+class OneWayProxy {
+ public:
+  OneWayProxy(std::uint16_t port, std::uint16_t target)
+      : acceptor_(context_, {boost::asio::ip::address_v4::loopback(), port}),
+        target_(boost::asio::ip::address_v4::loopback(), target) {
+    Accept();
+    thread_ = std::thread([this] { context_.run(); });
+  }
+  ~OneWayProxy() {
+    context_.stop();
+    thread_.join();
+  }
+  OneWayProxy(const OneWayProxy&) = delete;
+  OneWayProxy& operator=(const OneWayProxy&) = delete;
+
+  void CutRequests(bool cut) { requests_cut_ = cut; }
+  void CutAnswers(bool cut) { answers_cut_ = cut; }
+
+ private:
+  using Socket = boost::asio::ip::tcp::socket;
+
+  struct Direction {
+    std::shared_ptr<Socket> from;
+    std::shared_ptr<Socket> to;
+    const std::atomic<bool>& cut;
+    // Bytes are missing from now on, so nothing more is passed on.
+    bool lost = false;
+    std::array<char, 4096> buffer{};
+  };
+
+  void Accept() {
+    acceptor_.async_accept([this](boost::system::error_code error, Socket in) {
+      if (error)
+        return;
+      auto caller = std::make_shared<Socket>(std::move(in));
+      auto callee = std::make_shared<Socket>(context_);
+      callee->connect(target_, error);
+      if (!error) {
+        Pass(std::make_shared<Direction>(
+            Direction{.from = caller, .to = callee, .cut = requests_cut_}));
+        Pass(std::make_shared<Direction>(
+            Direction{.from = callee, .to = caller, .cut = answers_cut_}));
+      }
+      Accept();
+    });
+  }
+
+  void Pass(const std::shared_ptr<Direction>& direction) {
+    direction->from->async_read_some(
+        boost::asio::buffer(direction->buffer),
+        [this, direction](boost::system::error_code error, std::size_t bytes) {
+          direction->lost = direction->lost || direction->cut;
+          if (!error && !direction->lost)
+            boost::asio::write(
+                *direction->to,
+                boost::asio::buffer(direction->buffer.data(), bytes), error);
+          if (!error) {
+            Pass(direction);
+            return;
+          }
+          // The end of a connection is lost as well.
+          if (!direction->lost)
+            direction->to->close(error);
+        });
+  }
+
+  boost::asio::io_context context_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  const boost::asio::ip::tcp::endpoint target_;
+  std::atomic<bool> requests_cut_ = false;
+  std::atomic<bool> answers_cut_ = false;
+  std::thread thread_;
+};
+
 /// Sends a request every 50 ms, as the links do, until one is answered.
 class Asker {
  public:
@@ -102,6 +180,7 @@
 
   /// Returns whether a request was answered within \p limit.
   bool AskFor(Clock::duration limit) {
+    answers_ = 0;
     const auto end = Clock::now() + limit;
     while (Clock::now() < end) {
       Envelope envelope;
@@ -163,5 +242,23 @@
   CHECK(asker.AskFor(kRecovery));
 }
 
+// Guards against calls that reach the leader again only seconds after a cut of
+// one direction has healed.
+TEST_CASE("a path that was cut one way is used soon after it works again") {
+  const bool cut_requests = GENERATE(true, false);
+  CAPTURE(cut_requests);
+  const auto server = StartAnswering("127.0.0.1:23153");
+  OneWayProxy proxy(23154, 23153);
+  Asker asker("127.0.0.1:23154");
+  REQUIRE(asker.AskFor(kRecovery));
+  proxy.CutRequests(cut_requests);
+  proxy.CutAnswers(!cut_requests);
+  asker.AskFor(100ms);
+  REQUIRE_FALSE(asker.AskFor(5s));
+  proxy.CutRequests(false);
+  proxy.CutAnswers(false);
+  CHECK(asker.AskFor(kRecovery));
+}
+
 }  // namespace
 }  // namespace yuccastair::wire
