Drop the kept connections to a relay of which one went silent

Found while looking for the cause of the stale policies elsewhere: links that recover only when something outside says so.

Cause: where something between two relays loses track of their connections, each kept one (up to 64 to one relay) stayed in the pool and cost one request, which ended unanswered at its deadline; and a probe of a relay that had been left out could meet the next of them and prolong the ejection.

Change: a kept connection that gives no answer until the deadline takes the others to that relay with it. Ruled out: keep-alive probes, which cost packets between zones on each idle connection all the time; and the same for connections to the own target, where a slow target looks alike and new connections take its slots.

--- a/lib/relay/peer_client.cc
+++ b/lib/relay/peer_client.cc
@@ -7,6 +7,7 @@
 
 #include "peer_protocol.h"
 #include "send.h"
+#include "yuccastair/support/log.h"
 
 namespace yuccastair::relay {
 namespace {
@@ -59,6 +60,12 @@
   if (error || !DecodeResult(connection->reader().head().base(), result)) {
     call.cancellation.ClearHook();
     connection->Close();
+    // Whatever made one kept connection silent may have done so to all.
+    if (acquired.kept && error == stream::beast::error::timeout) {
+      support::LogInfo("peer.connections_dropped",
+                       {{"address", address.ToString()}});
+      pool_.Drop(address);
+    }
     result = CallResult::Unknown("no answer from the relay at " +
                                  address.ToString() + ": " + error.message());
     result.peer_silent = !call.cancellation.requested();
--- a/unittests/relay/entry_test.cc
+++ b/unittests/relay/entry_test.cc
@@ -4,9 +4,8 @@
 
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
-#include <sstream>
 
-#include "peer_protocol.h"
+#include "relay_answer.h"
 #include "scripted_target.h"
 
 namespace yuccastair::relay {
@@ -15,15 +14,6 @@
 using namespace std::chrono_literals;
 namespace http = stream::http;
 
-/// The bytes with which another relay answers \p result.
-std::string RelayAnswer(const CallResult& result) {
-  http::response<http::empty_body> message{EncodeResult(result)};
-  message.prepare_payload();
-  std::ostringstream text;
-  text << message;
-  return text.str();
-}
-
 /// A relay with a target of its own that fails each request, and another relay
 /// of the same service that refuses them.
 class EntryFixture {
--- /dev/null
+++ b/unittests/relay/relay_answer.h
@@ -0,0 +1,25 @@
+// The answers of another relay, as a scripted target gives them.
+
+#ifndef YUCCASTAIR_UNITTESTS_RELAY_RELAY_ANSWER_H_
+#define YUCCASTAIR_UNITTESTS_RELAY_RELAY_ANSWER_H_
+
+#include <sstream>
+#include <string>
+
+#include "peer_protocol.h"
+
+namespace yuccastair::relay {
+
+/// The bytes with which another relay answers \p result.
+inline std::string RelayAnswer(const CallResult& result) {
+  namespace http = stream::http;
+  http::response<http::empty_body> message{EncodeResult(result)};
+  message.prepare_payload();
+  std::ostringstream text;
+  text << message;
+  return text.str();
+}
+
+}  // namespace yuccastair::relay
+
+#endif  // YUCCASTAIR_UNITTESTS_RELAY_RELAY_ANSWER_H_
--- a/unittests/relay/scripted_target.h
+++ b/unittests/relay/scripted_target.h
@@ -57,6 +57,8 @@
   }
   /// The heads of the requests that have arrived.
   const std::vector<std::string>& requests() const { return requests_; }
+  /// Connections that have been accepted.
+  int connections() const { return connections_; }
   void Close() { acceptor_.close(); }
   /// Resets the connections of the \p count requests that are held longest.
   void ResetHeld(std::size_t count) {
@@ -79,6 +81,7 @@
       auto [error, socket] = co_await acceptor_.async_accept(stream::kAsTuple);
       if (error)
         co_return;
+      ++connections_;
       stream::asio::co_spawn(context, Serve(std::move(socket)),
                              stream::asio::detached);
     }
@@ -139,6 +142,7 @@
   const std::string answer_;
   const Behaviour behaviour_;
   const std::string id_header_;
+  int connections_ = 0;
   std::vector<std::string> requests_;
   std::deque<std::unique_ptr<Socket>> held_;
 };
