End answers that never end

Two faults of the relay, both shown by relay_endless_answer_test on the code before (five cases; heads were bounded already). An endless body outlived the deadline of its request: the time-out of a stream ends only an operation that waits, and none does while bytes are there. And a chunk line, a chunk extension or trailers without end were kept in a buffer without a limit.

Change: reading a body checks the deadline itself, and the buffer of a message holds its header limit and 256 KiB, for callers as well as for targets. After it the test passes: frames are cut off at once, bodies at the deadline.

--- a/include/yuccastair/stream/client.h
+++ b/include/yuccastair/stream/client.h
@@ -27,6 +27,7 @@
   /// Every operation from now on ends at \p deadline.
   void SetDeadline(support::TimePoint deadline) {
     stream_.expires_at(deadline);
+    reader_.SetDeadline(deadline);
   }
   Task<ErrorCode> Write(http::header<true> head, BodySource& source) {
     co_return co_await WriteMessage<true>(stream_, std::move(head), source,
--- a/include/yuccastair/stream/message_reader.h
+++ b/include/yuccastair/stream/message_reader.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "yuccastair/stream/types.h"
+#include "yuccastair/support/clock.h"
 
 namespace yuccastair::stream {
 
@@ -22,11 +23,19 @@
   MessageReader(beast::tcp_stream& stream, beast::flat_buffer& buffer)
       : stream_(stream), buffer_(buffer) {}
 
+  /// Reading a body fails with a time-out from then on. The time-out of the
+  /// stream only ends an operation that waits, and none does while bytes keep
+  /// coming.
+  void SetDeadline(support::TimePoint deadline) { deadline_ = deadline; }
+
   /// Reads the header of the next message. \p headless states that the message
   /// has no body whatever its header says (an answer to HEAD).
   Task<ErrorCode> ReadHead(std::uint32_t header_limit, bool headless = false) {
     parser_.emplace();
     parser_->header_limit(header_limit);
+    // Lines between the chunks of a body have no limit of their own.
+    buffer_.max_size(
+        std::max(buffer_.size(), std::size_t{header_limit} + kFrameBytes));
     parser_->body_limit(boost::none);
     if constexpr (!kIsRequest)
       parser_->skip(headless);
@@ -41,6 +50,8 @@
   Task<ErrorCode> ReadSome(std::string& out, std::size_t max) {
     if (parser_->is_done())
       co_return ErrorCode();
+    if (support::SteadyClock().Now() >= deadline_)
+      co_return beast::error::timeout;
     const std::size_t before = out.size();
     out.resize(before + max);
     auto& body = parser_->get().body();
@@ -86,10 +97,14 @@
  private:
   // One read takes what a typical message has.
   static constexpr std::size_t kReadSize = 16384;
+  // Held of a message beside its header: a piece of the body, its chunk lines
+  // and trailers.
+  static constexpr std::size_t kFrameBytes = std::size_t{256} << 10;
 
   beast::tcp_stream& stream_;
   beast::flat_buffer& buffer_;
   std::optional<http::parser<kIsRequest, http::buffer_body>> parser_;
+  support::TimePoint deadline_ = support::TimePoint::max();
 };
 
 }  // namespace yuccastair::stream
