--- a/unittests/relay/endless_answer_test.cc
+++ b/unittests/relay/endless_answer_test.cc
@@ -28,7 +28,7 @@
  public:
   EndlessTarget(stream::asio::io_context& context,
                 std::string begin,
-                std::string piece)
+                const std::string& piece)
       : acceptor_(context, {stream::asio::ip::make_address("127.0.0.1"), 0}),
         begin_(std::move(begin)) {
     while (piece_.size() < 65536)
