Soak relays and control processes with overlapping restarts and changes

Three control processes, three relays and twelve callers on kept connections; a seeded series of changes that are sent twice, evacuations, SIGTERM and restarts of relays, SIGHUP, and killed or frozen control processes. It fails where a request is cut off or runs twice, a refusal is not true, an answer is another one's, an accepted change is refused, not in force or forgotten, a zone out of service is sent requests, an older document is read, or a relay does not end cleanly.

--- /dev/null
+++ b/unittests/platform/soak_test.cc
@@ -0,0 +1,581 @@
+// Relays and control processes under a seeded series of signals, restarts and
+// changes, with callers that keep their connections open throughout.
+//
+// YUCCASTAIR_SEED runs one seed; YUCCASTAIR_SEEDS sets how many are run.
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <set>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "relay/scripted_target.h"
+#include "temporary_dir.h"
+#include "yuccastair/stream/client.h"
+
+namespace yuccastair {
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+using std::chrono::milliseconds;
+using stream::Task;
+namespace asio = stream::asio;
+namespace http = stream::http;
+
+constexpr int kControls = 3;
+constexpr int kRelays = 3;
+constexpr int kCallersOfRelay = 4;
+constexpr int kSteps = 14;
+constexpr int kPortsOfSeed = 60;
+constexpr int kFirstPort = 28000;
+constexpr int kPortRanges = 60;
+// Conditions that must come about, on a machine as busy as may be.
+constexpr auto kLimit = 30s;
+constexpr auto kCallPause = 25ms;
+constexpr auto kHeartbeat = 300ms;
+// A target in a zone out of service that is sent nothing for this long while
+// callers go on is left out.
+constexpr auto kQuiet = 500ms;
+
+/// Something that must never happen.
+class Violation : public std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+void Require(bool holds, const std::string& message) {
+  if (!holds)
+    throw Violation(message);
+}
+
+/// One process of the system.
+class Process {
+ public:
+  Process(std::string role, std::string config)
+      : role_(std::move(role)), config_(std::move(config)) {
+    Start();
+  }
+  ~Process() {
+    Signal(SIGCONT);
+    Signal(SIGKILL);
+    Wait();
+  }
+  Process(const Process&) = delete;
+  Process& operator=(const Process&) = delete;
+
+  void Start() {
+    pid_ = fork();
+    if (pid_ != 0)
+      return;
+    const int log = open((config_ + ".log").c_str(),
+                         O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    dup2(log, STDOUT_FILENO);
+    dup2(log, STDERR_FILENO);
+    execl(YUCCASTAIR_BINARY, "yuccastair", role_.c_str(), "--config",
+          config_.c_str(), nullptr);
+    _exit(127);
+  }
+  void Signal(int signal) const {
+    if (pid_ > 0)
+      kill(pid_, signal);
+  }
+  /// Returns whether the process has ended, and keeps its exit status.
+  bool HasEnded() {
+    if (pid_ > 0 && waitpid(pid_, &status_, WNOHANG) == pid_)
+      pid_ = 0;
+    return pid_ <= 0;
+  }
+  void Wait() {
+    if (pid_ > 0)
+      waitpid(pid_, &status_, 0);
+    pid_ = 0;
+  }
+  bool ended_well() const {
+    return WIFEXITED(status_) && WEXITSTATUS(status_) == 0;
+  }
+
+ private:
+  const std::string role_;
+  const std::string config_;
+  pid_t pid_ = 0;
+  int status_ = 0;
+};
+
+struct Answer {
+  unsigned status = 0;
+  std::string id;
+  std::string body;
+  // Whether the whole request was written.
+  bool sent = false;
+};
+
+struct Request {
+  std::string id;
+  std::string path;
+  bool idempotent = true;
+  Answer answer;
+};
+
+class Soak {
+ public:
+  explicit Soak(std::uint64_t seed)
+      : random_(seed),
+        first_port_(kFirstPort +
+                    static_cast<int>(seed % kPortRanges) * kPortsOfSeed) {
+    for (int i = 0; i < kControls; ++i)
+      controls_.push_back(
+          std::make_unique<Process>("control", ControlSettings(i)));
+    for (int i = 0; i < kRelays; ++i) {
+      targets_.push_back(std::make_unique<relay::ScriptedTarget>(
+          context_,
+          "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Seal: s\r\n"
+          "Content-Length: 4\r\n\r\nbody",
+          relay::ScriptedTarget::After::kKeep, "X-Attempt-Id: "));
+      relays_.push_back(std::make_unique<Process>("relay", RelaySettings(i)));
+    }
+  }
+
+  ~Soak() {
+    // What runs in the context refers to this object.
+    context_.stop();
+  }
+
+  void Run() {
+    Change();
+    for (int i = 0; i < kRelays; ++i)
+      asio::co_spawn(context_, Announce(i), asio::detached);
+    AwaitServing();
+    for (int i = 0; i < kRelays * kCallersOfRelay; ++i)
+      asio::co_spawn(context_, Call(i % kRelays), asio::detached);
+    for (int step = 0; step < kSteps; ++step) {
+      Disturb();
+      RunFor(milliseconds(Below(600)));
+    }
+    Settle();
+    Check();
+    Stop();
+  }
+
+ private:
+  int Below(int bound) {
+    return static_cast<int>(random_() % static_cast<std::uint64_t>(bound));
+  }
+  support::Address Port(int offset) const {
+    return {"127.0.0.1", static_cast<std::uint16_t>(first_port_ + offset)};
+  }
+  support::Address ControlPeer(int i) const { return Port(i); }
+  support::Address Policy(int i) const { return Port(10 + i); }
+  support::Address RelayPort(int i, int which) const {
+    return Port(30 + 5 * i + which);
+  }
+  support::Address Callers(int i) const { return RelayPort(i, 0); }
+  support::Address TargetCalls(int i) const { return RelayPort(i, 1); }
+  support::Address Ready(int i) const { return RelayPort(i, 2); }
+
+  std::string Seeds() const {
+    std::string seeds;
+    for (int i = 0; i < kControls; ++i)
+      seeds += (i > 0 ? ", \"" : "\"") + ControlPeer(i).ToString() + "\"";
+    return "[" + seeds + "]";
+  }
+
+  std::string ControlSettings(int i) const {
+    const std::string id = "control-" + std::to_string(i);
+    return dir_.Write(id + ".toml",
+                      "[control]\nid = \"" + id +
+                          "\"\navailability_zone = \"z" + std::to_string(i) +
+                          "\"\npeer_listen = \"" + ControlPeer(i).ToString() +
+                          "\"\noperator_listen = \"" + Port(20 + i).ToString() +
+                          "\"\npolicy_listen = \"" + Policy(i).ToString() +
+                          "\"\ndata_dir = \"" + (dir_.path() / id).string() +
+                          "\"\nseeds = " + Seeds() + "\nform_cluster = true\n");
+  }
+
+  std::string RelaySettings(int i) const {
+    const std::string id = "relay-" + std::to_string(i);
+    return dir_.Write(
+        id + ".toml",
+        "[relay]\nid = \"" + id + "\"\navailability_zone = \"z" +
+            std::to_string(i) + "\"\nservice = \"s1\"\ntarget = \"" +
+            targets_[static_cast<std::size_t>(i)]->address().ToString() +
+            "\"\ncaller_listen = \"" + Callers(i).ToString() +
+            "\"\ntarget_listen = \"" + TargetCalls(i).ToString() +
+            "\"\nready_listen = \"" + Ready(i).ToString() +
+            "\"\npeer_listen = \"" + RelayPort(i, 3).ToString() +
+            "\"\nseeds = " + Seeds() +
+            "\nshutdown_timeout_ms = 6000\ndrain_time_ms = 2000\n");
+  }
+
+  /// Each version keeps the routes of all earlier ones and adds one.
+  json Document(int base, int version) const {
+    json routes = json::array();
+    const auto add = [&routes](const std::string& prefix,
+                               const std::string& kind) {
+      routes.push_back({{"name", prefix},
+                        {"host", "h.example"},
+                        {"pathPrefix", prefix},
+                        {"kind", kind},
+                        {"timeoutMs", 3000},
+                        {"targetLatencyMs", 1000},
+                        {"priority", 0},
+                        {"service", "s1"},
+                        {"attempts", 2}});
+    };
+    add("/safe/", "safe");
+    add("/unsafe/", "unsafe");
+    for (int i = 1; i <= version; ++i)
+      add(Marker(i), "safe");
+    return {{"version", version},
+            {"baseVersion", base},
+            {"routes", routes},
+            {"services", {{{"name", "s1"}, {"healthPath", "/h"}}}}};
+  }
+  static std::string Marker(int version) {
+    return "/v" + std::to_string(version) + "/";
+  }
+
+  void RunFor(support::Duration time) {
+    context_.restart();
+    context_.run_for(time);
+  }
+
+  template <typename Condition>
+  void Await(const std::string& what, Condition condition) {
+    const auto end = support::SteadyClock().Now() + kLimit;
+    while (!condition()) {
+      Require(support::SteadyClock().Now() < end, what + " did not come about");
+      RunFor(20ms);
+    }
+  }
+
+  Task<void> Exchange(stream::ConnectionPool& pool,
+                      support::Address address,
+                      http::verb method,
+                      std::string path,
+                      std::string body,
+                      std::string id,
+                      Answer& answer) {
+    auto acquired =
+        co_await pool.Acquire(address, support::SteadyClock().Now() + 5s);
+    if (!acquired.connection)
+      co_return;
+    http::header<true> head;
+    head.method(method);
+    head.target(path);
+    head.set("Host", "h.example");
+    head.set("X-Attempt-Id", id);
+    head.set("X-Deadline-Ms", "4000");
+    stream::BodySource source;
+    source.begin = std::move(body);
+    source.length = source.begin.size();
+    stream::ErrorCode error =
+        co_await acquired.connection->Write(std::move(head), source);
+    if (error)
+      co_return;
+    answer.sent = true;
+    auto& reader = acquired.connection->reader();
+    error = co_await reader.ReadHead(65536);
+    if (!error)
+      error = co_await reader.ReadUpTo(answer.body, std::size_t{1} << 20);
+    if (error)
+      co_return;
+    answer.id = std::string(reader.head().base()["X-Attempt-Id"]);
+    answer.status = reader.head().result_int();
+    pool.Release(std::move(acquired.connection), 10s);
+  }
+
+  /// Sends one request on a connection of its own and waits for its answer.
+  Answer Ask(const support::Address& address,
+             http::verb method,
+             const std::string& path,
+             const std::string& body = "") {
+    auto answer = std::make_shared<Answer>();
+    auto done = std::make_shared<bool>(false);
+    asio::co_spawn(
+        context_,
+        [this, address, method, path, body, answer, done]() -> Task<void> {
+          stream::ConnectionPool pool(context_, {});
+          co_await Exchange(pool, address, method, path, body, "probe",
+                            *answer);
+          *done = true;
+        },
+        asio::detached);
+    context_.restart();
+    while (!*done)
+      context_.run_one();
+    return *answer;
+  }
+
+  Task<void> Pause(support::Duration time) {
+    asio::steady_timer timer(context_);
+    timer.expires_after(time);
+    co_await timer.async_wait(stream::kAsTuple);
+  }
+
+  Task<void> Announce(int i) {
+    stream::ConnectionPool pool(context_, {});
+    for (int sequence = 1; !finished_; ++sequence) {
+      const json body = {
+          {"addr", targets_[static_cast<std::size_t>(i)]->address().ToString()},
+          {"info", {{"service", "s1"}, {"slots", 20}}},
+          {"status",
+           {{"state", "ready"}, {"seq", sequence}, {"coldLeftMs", 0}}}};
+      Answer answer;
+      co_await Exchange(
+          pool, TargetCalls(i), http::verb::post,
+          "/yuccastair/Instances.Heartbeat/i-" + std::to_string(i), body.dump(),
+          "beat", answer);
+      co_await Pause(kHeartbeat);
+    }
+  }
+
+  Task<void> Call(int relay) {
+    stream::ConnectionPool pool(context_, {});
+    while (!finished_) {
+      auto request = std::make_shared<Request>();
+      request->id = "r" + std::to_string(requests_.size());
+      request->idempotent = Below(2) == 0;
+      request->path = request->idempotent ? "/safe/x" : "/unsafe/x";
+      requests_.push_back(request);
+      co_await Exchange(
+          pool, Callers(relay),
+          request->idempotent ? http::verb::get : http::verb::post,
+          request->path, request->idempotent ? "" : "order", request->id,
+          request->answer);
+      if (request->answer.status == 200)
+        ++served_;
+      co_await Pause(kCallPause);
+    }
+  }
+
+  void Disturb() {
+    switch (Below(7)) {
+      case 0:
+        return Change();
+      case 1:
+        return Evacuate();
+      case 2:
+        return RestartRelay();
+      case 3:
+        relays_[static_cast<std::size_t>(Below(kRelays))]->Signal(SIGHUP);
+        controls_[static_cast<std::size_t>(Below(kControls))]->Signal(SIGHUP);
+        return;
+      case 4:
+        return KillControl();
+      case 5:
+        return FreezeControl();
+      default:
+        Change();
+        return KillControl();
+    }
+  }
+
+  /// Sends a change to one control process after the other until it is
+  /// acknowledged, and then again, as an operator whose answer was lost.
+  void Change() {
+    const std::string document = Document(version_, version_ + 1).dump();
+    const auto put = [&] {
+      return Ask(Policy(Below(kControls)), http::verb::post,
+                 "/yuccastair/Config.Put", document)
+          .status;
+    };
+    Await("an acknowledgement", [&] {
+      const unsigned status = put();
+      Require(status != 412, "a change on the newest version was refused");
+      return status == 200;
+    });
+    ++version_;
+    document_ = document;
+    Await("a second acknowledgement", [&] {
+      const unsigned status = put();
+      Require(status != 412, "an accepted change was refused");
+      return status == 200;
+    });
+    AwaitInForce();
+  }
+
+  /// Waits until each relay serves the newest route, and sees that none forgets
+  /// a version that it has served.
+  void AwaitInForce() {
+    for (int i = 0; i < kRelays; ++i) {
+      Await("version " + std::to_string(version_) + " at relay " +
+                std::to_string(i),
+            [&] { return KnowsMarker(i, version_); });
+      for (int again = 0; again < 5; ++again)
+        Require(KnowsMarker(i, version_), "a relay went back to an old policy");
+    }
+  }
+
+  bool KnowsMarker(int relay, int version) {
+    const Answer answer =
+        Ask(Callers(relay), http::verb::get, Marker(version) + "x");
+    // No answer says nothing about the policy.
+    return answer.status != 0 && answer.status != 404 &&
+           !(answer.status == 503 &&
+             answer.body.find("policy") != std::string::npos);
+  }
+
+  void Evacuate() {
+    const int zone = Below(kRelays);
+    const std::string name = "z" + std::to_string(zone);
+    const auto order = [&](const std::string& verb) {
+      Await(verb + " of zone " + name, [&] {
+        return Ask(Policy(Below(kControls)), http::verb::post,
+                   "/yuccastair/Evacuations." + verb + "/" + name)
+                   .status == 200;
+      });
+    };
+    const auto& target = *targets_[static_cast<std::size_t>(zone)];
+    order("Start");
+    Await("a quiet target in " + name, [&] {
+      const std::size_t before = target.requests().size();
+      RunFor(kQuiet);
+      return target.requests().size() == before;
+    });
+    const std::size_t quiet = target.requests().size();
+    const std::size_t served = served_;
+    RunFor(1s);
+    Require(target.requests().size() == quiet,
+            "a target in a zone out of service was sent a request");
+    Await("service elsewhere", [&] { return served_ > served; });
+    order("End");
+    Await("requests in " + name + " again",
+          [&] { return target.requests().size() > quiet; });
+  }
+
+  void RestartRelay() {
+    Process& relay = *relays_[static_cast<std::size_t>(Below(kRelays))];
+    relay.Signal(SIGTERM);
+    if (Below(2) == 0)
+      relay.Signal(SIGHUP);
+    Await("the end of a relay", [&] { return relay.HasEnded(); });
+    Require(relay.ended_well(), "a relay did not stop cleanly");
+    relay.Start();
+    AwaitServing();
+  }
+
+  void KillControl() {
+    Process& control = *controls_[static_cast<std::size_t>(Below(kControls))];
+    control.Signal(SIGKILL);
+    control.Wait();
+    RunFor(milliseconds(Below(1500)));
+    control.Start();
+  }
+
+  void FreezeControl() {
+    Process& control = *controls_[static_cast<std::size_t>(Below(kControls))];
+    control.Signal(SIGSTOP);
+    RunFor(milliseconds(500 + Below(2000)));
+    // A change during the freeze, which the frozen process must not hide.
+    if (Below(2) == 0)
+      Change();
+    control.Signal(SIGCONT);
+  }
+
+  void AwaitServing() {
+    for (int i = 0; i < kRelays; ++i)
+      Await("service at relay " + std::to_string(i), [&] {
+        return Ask(Ready(i), http::verb::get, "/yuccastair/ready").status ==
+                   200 &&
+               Ask(Callers(i), http::verb::get, "/safe/x").status == 200;
+      });
+  }
+
+  void Settle() {
+    AwaitInForce();
+    AwaitServing();
+    finished_ = true;
+    RunFor(5s);
+    Await("the newest document", [&] {
+      const Answer read = Ask(Policy(Below(kControls)), http::verb::get,
+                              "/yuccastair/Config.Get");
+      Require(read.status != 200 || read.body == document_,
+              "an older document was read");
+      return read.status == 200;
+    });
+  }
+
+  void Check() const {
+    std::multiset<std::string> ran;
+    for (const auto& target : targets_) {
+      for (const std::string& head : target->requests()) {
+        const std::string name = "X-Attempt-Id: ";
+        const std::size_t at = head.find(name) + name.size();
+        ran.insert(head.substr(at, head.find("\r\n", at) - at));
+      }
+    }
+    for (const auto& request : requests_) {
+      const Answer& answer = request->answer;
+      const std::string what =
+          request->id + " (" + std::to_string(answer.status) + ")";
+      const std::size_t runs = ran.count(request->id);
+      Require(request->idempotent || runs <= 1, what + " ran twice");
+      if (answer.status == 503 || answer.status == 429)
+        Require(runs == 0 || request->idempotent,
+                what + " ran though it was refused");
+      if (answer.status == 200)
+        Require(answer.id == request->id && answer.body == "body",
+                what + " got another answer");
+      Require(answer.status != 404, what + " was denied");
+      // Relays are only stopped as planned, so no request may be cut off.
+      if (answer.status == 0 && answer.sent)
+        Require(runs == 0, what + " was cut off");
+    }
+    Require(served_ > requests_.size() / 2, "most requests were not served");
+  }
+
+  void Stop() {
+    for (const auto& relay : relays_)
+      relay->Signal(SIGTERM);
+    for (const auto& relay : relays_) {
+      relay->Wait();
+      Require(relay->ended_well(), "a relay did not stop cleanly");
+    }
+  }
+
+  std::mt19937_64 random_;
+  const int first_port_;
+  TemporaryDir dir_;
+  asio::io_context context_;
+  std::vector<std::unique_ptr<relay::ScriptedTarget>> targets_;
+  std::vector<std::unique_ptr<Process>> controls_;
+  std::vector<std::unique_ptr<Process>> relays_;
+  std::vector<std::shared_ptr<Request>> requests_;
+  std::size_t served_ = 0;
+  // The newest acknowledged version, and its document.
+  int version_ = 0;
+  std::string document_;
+  bool finished_ = false;
+};
+
+std::uint64_t FromEnvironment(const char* name, std::uint64_t fallback) {
+  const char* text = std::getenv(name);
+  return text != nullptr ? std::strtoull(text, nullptr, 10) : fallback;
+}
+
+// Guards against faults that only a series of them brings about: requests that
+// are cut off or run twice, changes that are lost or not in force.
+TEST_CASE("no seed of overlapping restarts and changes breaks a promise") {
+  constexpr std::uint64_t kDefaultSeeds = 2;
+  const std::uint64_t only = FromEnvironment("YUCCASTAIR_SEED", 0);
+  const std::uint64_t first = only != 0 ? only : 1;
+  const std::uint64_t seeds =
+      only != 0 ? 1 : FromEnvironment("YUCCASTAIR_SEEDS", kDefaultSeeds);
+  for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
+    INFO("again: YUCCASTAIR_SEED=" << seed << " platform_soak_test");
+    Soak soak(seed);
+    REQUIRE_NOTHROW(soak.Run());
+  }
+}
+
+}  // namespace
+}  // namespace yuccastair
