--- a/unittests/wire/path_loss_test.cc
+++ b/unittests/wire/path_loss_test.cc
@@ -46,18 +46,25 @@
   const int fd_;
 };
 
+/// Listens with the shortest queue of new connections that there is.
+void Listen(const Descriptor& listener, std::uint16_t port) {
+  const int on = 1;
+  setsockopt(listener.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  sockaddr_in address = LoopbackAddress(port);
+  REQUIRE(bind(listener.get(), reinterpret_cast<sockaddr*>(&address),
+               sizeof address) == 0);
+  REQUIRE(listen(listener.get(), 0) == 0);
+}
+
 /// A port whose queue of new connections is full, so that the kernel drops the
 /// first packet of each further one, as a cut path does.
 class DroppedConnections {
  public:
   explicit DroppedConnections(std::uint16_t port) {
-    const int on = 1;
-    setsockopt(listener_.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    Listen(listener_, port);
     sockaddr_in address = LoopbackAddress(port);
     auto* generic = reinterpret_cast<sockaddr*>(&address);
-    REQUIRE(bind(listener_.get(), generic, sizeof address) == 0);
-    REQUIRE(listen(listener_.get(), 0) == 0);
-    for (int i = 0; i < 3; ++i) {
+    for (int i = 0; i < kFillers; ++i) {
       fillers_.push_back(std::make_unique<Descriptor>(SOCK_NONBLOCK));
       // Stays under way: nobody accepts it.
       (void)connect(fillers_.back()->get(), generic, sizeof address);
@@ -65,6 +72,9 @@
   }
 
  private:
+  // More than the queue holds.
+  static constexpr int kFillers = 3;
+
   Descriptor listener_;
   std::vector<std::unique_ptr<Descriptor>> fillers_;
 };
@@ -74,12 +84,7 @@
  public:
   explicit SilentConnection(std::uint16_t port) {
     Descriptor listener;
-    const int on = 1;
-    setsockopt(listener.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    sockaddr_in address = LoopbackAddress(port);
-    auto* generic = reinterpret_cast<sockaddr*>(&address);
-    REQUIRE(bind(listener.get(), generic, sizeof address) == 0);
-    REQUIRE(listen(listener.get(), 0) == 0);
+    Listen(listener, port);
     fd_ = accept(listener.get(), nullptr, nullptr);
   }
   ~SilentConnection() { close(fd_); }
