--- a/unittests/platform/soak_test.cc
+++ b/unittests/platform/soak_test.cc
@@ -8,6 +8,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstdlib>
 #include <memory>
@@ -35,7 +36,8 @@
 constexpr int kControls = 3;
 constexpr int kRelays = 3;
 constexpr int kCallersOfRelay = 4;
-constexpr int kSteps = 14;
+// Each kind of step comes this often, in an order of the seed.
+constexpr int kRounds = 2;
 constexpr int kPortsOfSeed = 60;
 constexpr int kFirstPort = 28000;
 constexpr int kPortRanges = 60;
@@ -156,8 +158,8 @@
     AwaitServing();
     for (int i = 0; i < kRelays * kCallersOfRelay; ++i)
       asio::co_spawn(context_, Call(i % kRelays), asio::detached);
-    for (int step = 0; step < kSteps; ++step) {
-      Disturb();
+    for (const Step step : Steps()) {
+      Take(step);
       RunFor(milliseconds(Below(600)));
     }
     Settle();
@@ -166,6 +168,27 @@
   }
 
  private:
+  enum class Step {
+    kChange,
+    kEvacuate,
+    kRestartRelay,
+    kReload,
+    kKillControl,
+    kFreezeControl,
+    kChangeAndKillControl,
+  };
+
+  std::vector<Step> Steps() {
+    std::vector<Step> steps;
+    for (int i = 0; i < kRounds; ++i)
+      steps.insert(steps.end(),
+                   {Step::kChange, Step::kEvacuate, Step::kRestartRelay,
+                    Step::kReload, Step::kKillControl, Step::kFreezeControl,
+                    Step::kChangeAndKillControl});
+    std::shuffle(steps.begin(), steps.end(), random_);
+    return steps;
+  }
+
   int Below(int bound) {
     return static_cast<int>(random_() % static_cast<std::uint64_t>(bound));
   }
@@ -357,28 +380,33 @@
     }
   }
 
-  void Disturb() {
-    switch (Below(7)) {
-      case 0:
+  void Take(Step step) {
+    switch (step) {
+      case Step::kChange:
         return Change();
-      case 1:
+      case Step::kEvacuate:
         return Evacuate();
-      case 2:
+      case Step::kRestartRelay:
         return RestartRelay();
-      case 3:
-        relays_[static_cast<std::size_t>(Below(kRelays))]->Signal(SIGHUP);
-        controls_[static_cast<std::size_t>(Below(kControls))]->Signal(SIGHUP);
+      case Step::kReload:
+        AnyOf(relays_).Signal(SIGHUP);
+        AnyOf(controls_).Signal(SIGHUP);
         return;
-      case 4:
+      case Step::kKillControl:
         return KillControl();
-      case 5:
+      case Step::kFreezeControl:
         return FreezeControl();
-      default:
+      case Step::kChangeAndKillControl:
         Change();
         return KillControl();
     }
   }
 
+  Process& AnyOf(std::vector<std::unique_ptr<Process>>& processes) {
+    const int chosen = Below(static_cast<int>(processes.size()));
+    return *processes[static_cast<std::size_t>(chosen)];
+  }
+
   /// Sends a change to one control process after the other until it is
   /// acknowledged, and then again, as an operator whose answer was lost.
   void Change() {
@@ -453,7 +481,7 @@
   }
 
   void RestartRelay() {
-    Process& relay = *relays_[static_cast<std::size_t>(Below(kRelays))];
+    Process& relay = AnyOf(relays_);
     relay.Signal(SIGTERM);
     if (Below(2) == 0)
       relay.Signal(SIGHUP);
@@ -464,7 +492,7 @@
   }
 
   void KillControl() {
-    Process& control = *controls_[static_cast<std::size_t>(Below(kControls))];
+    Process& control = AnyOf(controls_);
     control.Signal(SIGKILL);
     control.Wait();
     RunFor(milliseconds(Below(1500)));
@@ -472,7 +500,7 @@
   }
 
   void FreezeControl() {
-    Process& control = *controls_[static_cast<std::size_t>(Below(kControls))];
+    Process& control = AnyOf(controls_);
     control.Signal(SIGSTOP);
     RunFor(milliseconds(500 + Below(2000)));
     // A change during the freeze, which the frozen process must not hide.
