--- a/unittests/platform/soak_test.cc
+++ b/unittests/platform/soak_test.cc
@@ -3,11 +3,6 @@
 //
 // YUCCASTAIR_SEED runs one seed; YUCCASTAIR_SEEDS sets how many are run.
 
-#include <fcntl.h>
-#include <signal.h>
-#include <sys/wait.h>
-#include <unistd.h>
-
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstdlib>
@@ -20,7 +15,8 @@
 #include <vector>
 
 #include "relay/scripted_target.h"
-#include "temporary_dir.h"
+#include "soak_layout.h"
+#include "system_process.h"
 #include "yuccastair/stream/client.h"
 
 namespace yuccastair {
@@ -33,14 +29,10 @@
 namespace asio = stream::asio;
 namespace http = stream::http;
 
-constexpr int kControls = 3;
 constexpr int kRelays = 3;
 constexpr int kCallersOfRelay = 4;
 // Each kind of step comes this often, in an order of the seed.
 constexpr int kRounds = 2;
-constexpr int kPortsOfSeed = 60;
-constexpr int kFirstPort = 28000;
-constexpr int kPortRanges = 60;
 // Conditions that must come about, on a machine as busy as may be.
 constexpr auto kLimit = 30s;
 constexpr auto kCallPause = 25ms;
@@ -59,59 +51,6 @@
     throw Violation(message);
 }
 
-/// One process of the system.
-class Process {
- public:
-  Process(std::string role, std::string config)
-      : role_(std::move(role)), config_(std::move(config)) {
-    Start();
-  }
-  ~Process() {
-    Signal(SIGCONT);
-    Signal(SIGKILL);
-    Wait();
-  }
-  Process(const Process&) = delete;
-  Process& operator=(const Process&) = delete;
-
-  void Start() {
-    pid_ = fork();
-    if (pid_ != 0)
-      return;
-    const int log = open((config_ + ".log").c_str(),
-                         O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-    dup2(log, STDOUT_FILENO);
-    dup2(log, STDERR_FILENO);
-    execl(YUCCASTAIR_BINARY, "yuccastair", role_.c_str(), "--config",
-          config_.c_str(), nullptr);
-    _exit(127);
-  }
-  void Signal(int signal) const {
-    if (pid_ > 0)
-      kill(pid_, signal);
-  }
-  /// Returns whether the process has ended, and keeps its exit status.
-  bool HasEnded() {
-    if (pid_ > 0 && waitpid(pid_, &status_, WNOHANG) == pid_)
-      pid_ = 0;
-    return pid_ <= 0;
-  }
-  void Wait() {
-    if (pid_ > 0)
-      waitpid(pid_, &status_, 0);
-    pid_ = 0;
-  }
-  bool ended_well() const {
-    return WIFEXITED(status_) && WEXITSTATUS(status_) == 0;
-  }
-
- private:
-  const std::string role_;
-  const std::string config_;
-  pid_t pid_ = 0;
-  int status_ = 0;
-};
-
 struct Answer {
   unsigned status = 0;
   std::string id;
@@ -129,20 +68,18 @@
 
 class Soak {
  public:
-  explicit Soak(std::uint64_t seed)
-      : random_(seed),
-        first_port_(kFirstPort +
-                    static_cast<int>(seed % kPortRanges) * kPortsOfSeed) {
-    for (int i = 0; i < kControls; ++i)
+  explicit Soak(std::uint64_t seed) : random_(seed), layout_(seed) {
+    for (int i = 0; i < SoakLayout::kControls; ++i)
       controls_.push_back(
-          std::make_unique<Process>("control", ControlSettings(i)));
+          std::make_unique<Process>("control", layout_.ControlSettings(i)));
     for (int i = 0; i < kRelays; ++i) {
       targets_.push_back(std::make_unique<relay::ScriptedTarget>(
           context_,
           "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Seal: s\r\n"
           "Content-Length: 4\r\n\r\nbody",
           relay::ScriptedTarget::After::kKeep, "X-Attempt-Id: "));
-      relays_.push_back(std::make_unique<Process>("relay", RelaySettings(i)));
+      relays_.push_back(std::make_unique<Process>(
+          "relay", layout_.RelaySettings(i, targets_.back()->address())));
     }
   }
 
@@ -192,80 +129,6 @@
   int Below(int bound) {
     return static_cast<int>(random_() % static_cast<std::uint64_t>(bound));
   }
-  support::Address Port(int offset) const {
-    return {"127.0.0.1", static_cast<std::uint16_t>(first_port_ + offset)};
-  }
-  support::Address ControlPeer(int i) const { return Port(i); }
-  support::Address Policy(int i) const { return Port(10 + i); }
-  support::Address RelayPort(int i, int which) const {
-    return Port(30 + 5 * i + which);
-  }
-  support::Address Callers(int i) const { return RelayPort(i, 0); }
-  support::Address TargetCalls(int i) const { return RelayPort(i, 1); }
-  support::Address Ready(int i) const { return RelayPort(i, 2); }
-
-  std::string Seeds() const {
-    std::string seeds;
-    for (int i = 0; i < kControls; ++i)
-      seeds += (i > 0 ? ", \"" : "\"") + ControlPeer(i).ToString() + "\"";
-    return "[" + seeds + "]";
-  }
-
-  std::string ControlSettings(int i) const {
-    const std::string id = "control-" + std::to_string(i);
-    return dir_.Write(id + ".toml",
-                      "[control]\nid = \"" + id +
-                          "\"\navailability_zone = \"z" + std::to_string(i) +
-                          "\"\npeer_listen = \"" + ControlPeer(i).ToString() +
-                          "\"\noperator_listen = \"" + Port(20 + i).ToString() +
-                          "\"\npolicy_listen = \"" + Policy(i).ToString() +
-                          "\"\ndata_dir = \"" + (dir_.path() / id).string() +
-                          "\"\nseeds = " + Seeds() + "\nform_cluster = true\n");
-  }
-
-  std::string RelaySettings(int i) const {
-    const std::string id = "relay-" + std::to_string(i);
-    return dir_.Write(
-        id + ".toml",
-        "[relay]\nid = \"" + id + "\"\navailability_zone = \"z" +
-            std::to_string(i) + "\"\nservice = \"s1\"\ntarget = \"" +
-            targets_[static_cast<std::size_t>(i)]->address().ToString() +
-            "\"\ncaller_listen = \"" + Callers(i).ToString() +
-            "\"\ntarget_listen = \"" + TargetCalls(i).ToString() +
-            "\"\nready_listen = \"" + Ready(i).ToString() +
-            "\"\npeer_listen = \"" + RelayPort(i, 3).ToString() +
-            "\"\nseeds = " + Seeds() +
-            "\nshutdown_timeout_ms = 6000\ndrain_time_ms = 2000\n");
-  }
-
-  /// Each version keeps the routes of all earlier ones and adds one.
-  json Document(int base, int version) const {
-    json routes = json::array();
-    const auto add = [&routes](const std::string& prefix,
-                               const std::string& kind) {
-      routes.push_back({{"name", prefix},
-                        {"host", "h.example"},
-                        {"pathPrefix", prefix},
-                        {"kind", kind},
-                        {"timeoutMs", 3000},
-                        {"targetLatencyMs", 1000},
-                        {"priority", 0},
-                        {"service", "s1"},
-                        {"attempts", 2}});
-    };
-    add("/safe/", "safe");
-    add("/unsafe/", "unsafe");
-    for (int i = 1; i <= version; ++i)
-      add(Marker(i), "safe");
-    return {{"version", version},
-            {"baseVersion", base},
-            {"routes", routes},
-            {"services", {{{"name", "s1"}, {"healthPath", "/h"}}}}};
-  }
-  static std::string Marker(int version) {
-    return "/v" + std::to_string(version) + "/";
-  }
-
   void RunFor(support::Duration time) {
     context_.restart();
     context_.run_for(time);
@@ -354,7 +217,7 @@
            {{"state", "ready"}, {"seq", sequence}, {"coldLeftMs", 0}}}};
       Answer answer;
       co_await Exchange(
-          pool, TargetCalls(i), http::verb::post,
+          pool, layout_.TargetCalls(i), http::verb::post,
           "/yuccastair/Instances.Heartbeat/i-" + std::to_string(i), body.dump(),
           "beat", answer);
       co_await Pause(kHeartbeat);
@@ -370,7 +233,7 @@
       request->path = request->idempotent ? "/safe/x" : "/unsafe/x";
       requests_.push_back(request);
       co_await Exchange(
-          pool, Callers(relay),
+          pool, layout_.Callers(relay),
           request->idempotent ? http::verb::get : http::verb::post,
           request->path, request->idempotent ? "" : "order", request->id,
           request->answer);
@@ -410,9 +273,10 @@
   /// Sends a change to one control process after the other until it is
   /// acknowledged, and then again, as an operator whose answer was lost.
   void Change() {
-    const std::string document = Document(version_, version_ + 1).dump();
+    const std::string document =
+        SoakLayout::Document(version_, version_ + 1).dump();
     const auto put = [&] {
-      return Ask(Policy(Below(kControls)), http::verb::post,
+      return Ask(layout_.Policy(Below(SoakLayout::kControls)), http::verb::post,
                  "/yuccastair/Config.Put", document)
           .status;
     };
@@ -444,8 +308,8 @@
   }
 
   bool KnowsMarker(int relay, int version) {
-    const Answer answer =
-        Ask(Callers(relay), http::verb::get, Marker(version) + "x");
+    const Answer answer = Ask(layout_.Callers(relay), http::verb::get,
+                              SoakLayout::Marker(version) + "x");
     // No answer says nothing about the policy.
     return answer.status != 0 && answer.status != 404 &&
            !(answer.status == 503 &&
@@ -457,7 +321,8 @@
     const std::string name = "z" + std::to_string(zone);
     const auto order = [&](const std::string& verb) {
       Await(verb + " of zone " + name, [&] {
-        return Ask(Policy(Below(kControls)), http::verb::post,
+        return Ask(layout_.Policy(Below(SoakLayout::kControls)),
+                   http::verb::post,
                    "/yuccastair/Evacuations." + verb + "/" + name)
                    .status == 200;
       });
@@ -512,9 +377,10 @@
   void AwaitServing() {
     for (int i = 0; i < kRelays; ++i)
       Await("service at relay " + std::to_string(i), [&] {
-        return Ask(Ready(i), http::verb::get, "/yuccastair/ready").status ==
-                   200 &&
-               Ask(Callers(i), http::verb::get, "/safe/x").status == 200;
+        return Ask(layout_.Ready(i), http::verb::get, "/yuccastair/ready")
+                       .status == 200 &&
+               Ask(layout_.Callers(i), http::verb::get, "/safe/x").status ==
+                   200;
       });
   }
 
@@ -524,8 +390,8 @@
     finished_ = true;
     RunFor(5s);
     Await("the newest document", [&] {
-      const Answer read = Ask(Policy(Below(kControls)), http::verb::get,
-                              "/yuccastair/Config.Get");
+      const Answer read = Ask(layout_.Policy(Below(SoakLayout::kControls)),
+                              http::verb::get, "/yuccastair/Config.Get");
       Require(read.status != 200 || read.body == document_,
               "an older document was read");
       return read.status == 200;
@@ -571,8 +437,7 @@
   }
 
   std::mt19937_64 random_;
-  const int first_port_;
-  TemporaryDir dir_;
+  const SoakLayout layout_;
   asio::io_context context_;
   std::vector<std::unique_ptr<relay::ScriptedTarget>> targets_;
   std::vector<std::unique_ptr<Process>> controls_;
