--- a/unittests/platform/soak_layout.h
+++ b/unittests/platform/soak_layout.h
@@ -16,7 +16,8 @@
  public:
   static constexpr int kControls = 3;
 
-  /// Seeds that run at the same time have ports of their own.
+  /// Seeds that run at the same time have ports of their own, and ones that no
+  /// other test uses.
   explicit SoakLayout(std::uint64_t seed)
       : first_port_(kFirstPort +
                     static_cast<int>(seed % kPortRanges) * kPortsOfSeed) {}
@@ -87,7 +88,7 @@
   using json = nlohmann::json;
 
   static constexpr int kPortsOfSeed = 60;
-  static constexpr int kFirstPort = 28000;
+  static constexpr int kFirstPort = 16000;
   static constexpr int kPortRanges = 60;
 
   support::Address Port(int offset) const {
