Tell a missing token by its reason and a route that is held back by its time

The leader now states that tokens are withheld, relays name one of three reasons in lines, metrics and answers, and only the first one gives 429, since the others say nothing of the organisation. A route that is held back writes a line when that begins and when it ends, with the time between.

Test: relay_rate_guard_test (a refusal names what the token is missing for). No decision about who is served has changed.

--- a/include/yuccastair/rates/token_leases.h
+++ b/include/yuccastair/rates/token_leases.h
@@ -18,6 +18,20 @@
 
 namespace yuccastair::rates {
 
+/// Why a node has no token of an organisation.
+enum class Shortage {
+  /// The leader has stated that the organisation has used up its rate.
+  kRate,
+  /// The leader holds tokens back, because nodes may hold those of earlier
+  /// leaders.
+  kLeaderChange,
+  /// No leader has answered lately.
+  kNoLeader,
+};
+
+/// Returns the text that replies, logs and metrics carry.
+const char* ShortageText(Shortage shortage);
+
 /// Spends leased tokens, and writes the requests to the leader that renew,
 /// enlarge and give back leases.
 ///
@@ -49,6 +63,9 @@
   /// Time until a token may be there, as the leader last stated it.
   std::chrono::milliseconds RetryAfter(const std::string& organisation) const;
 
+  /// Why \p organisation has no token.
+  Shortage ShortageOf(const std::string& organisation) const;
+
   /// Returns how many tokens of \p organisation can be spent now.
   std::uint64_t Held(const std::string& organisation);
 
@@ -92,6 +109,9 @@
     support::TimePoint unlimited_until;
     support::TimePoint asked_at;
     support::TimePoint retry_at;
+    support::TimePoint answered_at;
+    // As the leader stated in its last answer.
+    bool withheld = false;
     std::chrono::milliseconds retry_after{0};
     std::chrono::milliseconds report_within{0};
   };
--- a/lib/rates/rate_ledger.cc
+++ b/lib/rates/rate_ledger.cc
@@ -143,6 +143,7 @@
         limit->rate > 0 ? missing / limit->rate * 1000 : kMaxRetryMs;
     grant.set_retry_after_ms(static_cast<std::uint32_t>(
         std::clamp(std::ceil(wait), 1.0, kMaxRetryMs)));
+    grant.set_withheld(account.inherited > 0);
   }
 }
 
--- a/lib/rates/token_leases.cc
+++ b/lib/rates/token_leases.cc
@@ -30,6 +30,9 @@
 constexpr milliseconds kSpendingSlot{10};
 constexpr std::size_t kMaxSpendings = 64;
 constexpr std::size_t kMaxSentTimes = 256;
+// An answer older than this does not tell the present state: where requests
+// wait, one is asked for every kAnswerWait.
+constexpr milliseconds kAnswerIsRecent{300};
 
 std::uint32_t AgeMs(support::TimePoint when, support::TimePoint now) {
   return static_cast<std::uint32_t>(
@@ -38,6 +41,18 @@
 
 }  // namespace
 
+const char* ShortageText(Shortage shortage) {
+  switch (shortage) {
+    case Shortage::kRate:
+      return "the organisation is over its rate";
+    case Shortage::kLeaderChange:
+      return "the new leader holds tokens back";
+    case Shortage::kNoLeader:
+      return "no leader grants tokens";
+  }
+  return "";
+}
+
 TokenLeases::TokenLeases(const support::Clock& clock,
                          std::string node_id,
                          std::string incarnation)
@@ -252,6 +267,8 @@
   lease.expires_at = std::max(lease.expires_at, expires_at);
   lease.spent_seen =
       std::clamp(lease_grant.spent_seen(), lease.spent_seen, lease.spent);
+  account.answered_at = now;
+  account.withheld = lease_grant.withheld();
   account.report_within = milliseconds(lease_grant.report_within_ms());
   account.retry_after = milliseconds(lease_grant.retry_after_ms());
   // Another node may give tokens back before the bucket refills.
@@ -273,6 +290,14 @@
   return found == accounts_.end() ? milliseconds(0) : found->second.retry_after;
 }
 
+Shortage TokenLeases::ShortageOf(const std::string& organisation) const {
+  const auto found = accounts_.find(organisation);
+  if (found == accounts_.end() ||
+      clock_.Now() - found->second.answered_at > kAnswerIsRecent)
+    return Shortage::kNoLeader;
+  return found->second.withheld ? Shortage::kLeaderChange : Shortage::kRate;
+}
+
 std::uint64_t TokenLeases::Held(const std::string& organisation) {
   Account& account = AccountOf(organisation);
   EndExpired(account);
--- a/lib/relay/entry.cc
+++ b/lib/relay/entry.cc
@@ -121,9 +121,14 @@
   if (organisation != nullptr && organisation->rate() > 0)
     within_rate = co_await parts_.rates.Take(call.organisation);
   if (!within_rate) {
-    refusal = {429, "the organisation is over its rate",
+    const rates::Shortage shortage = parts_.rates.ShortageOf(call.organisation);
+    // Only the first of the reasons says anything about the organisation.
+    refusal = {shortage == rates::Shortage::kRate ? 429U : 503U,
+               rates::ShortageText(shortage),
                std::max(parts_.rates.RetryAfter(call.organisation),
                         SpreadRetry(request))};
+    parts_.metrics.Count("yuccastair_rate_refusals_total",
+                         {{"reason", refusal.reason}});
     co_await Refuse(exchange, request, refusal);
     co_return;
   }
--- a/lib/relay/rate_guard.h
+++ b/lib/relay/rate_guard.h
@@ -42,6 +42,11 @@
     return leases_.RetryAfter(organisation);
   }
 
+  /// Returns why a request was refused just now.
+  rates::Shortage ShortageOf(const std::string& organisation) const {
+    return leases_.ShortageOf(organisation);
+  }
+
   void Apply(const wire::RateGrant& grant);
   /// Sends what is due; called every few ms.
   void Tick();
--- a/lib/relay/target_proxy.cc
+++ b/lib/relay/target_proxy.cc
@@ -287,8 +287,10 @@
     requests_.Remove(running);
     result.call_failed = running->call_failed;
     result.call_refused = running->call_refused;
-    if (call.depth <= 1 && !call.cancellation.requested())
+    if (call.depth <= 1 && !call.cancellation.requested()) {
       throttle_.OnEnd(call.route, running->call_refused);
+      NoteShare(call.route);
+    }
   }
   if (result.on_end) {
     // The slot is held until the last byte of the body.
@@ -303,6 +305,23 @@
   co_return result;
 }
 
+/// Reports when a route begins to be held back and when it is whole again.
+void TargetProxy::NoteShare(const std::string& route) {
+  const auto held = held_back_since_.find(route);
+  const double share = throttle_.ShareOf(route);
+  if (share < 1 && held == held_back_since_.end()) {
+    held_back_since_.emplace(route, clock_.Now());
+    support::LogInfo("throttle.reduced", {{"route", route}, {"share", share}});
+  } else if (share >= 1 && held != held_back_since_.end()) {
+    const auto lasted =
+        std::chrono::duration_cast<milliseconds>(clock_.Now() - held->second);
+    support::LogInfo("throttle.whole",
+                     {{"route", route}, {"after_ms", lasted.count()}});
+    metrics_.Observe("yuccastair_throttle_seconds", {{"route", route}}, lasted);
+    held_back_since_.erase(held);
+  }
+}
+
 void TargetProxy::Finish(std::uint64_t id, ExchangeEnd end) {
   admission::Admission::Decisions decisions;
   admission_.Finish(id, end, decisions);
--- a/lib/relay/target_proxy.h
+++ b/lib/relay/target_proxy.h
@@ -84,6 +84,7 @@
                    admission::ExchangeEnd& end) const;
   stream::ConnectionPool::KeptState OtherConnections();
   void NoteBroken();
+  void NoteShare(const std::string& route);
   void Finish(std::uint64_t id, admission::ExchangeEnd end);
   stream::http::header<true> HeadFor(const RelayCall& call) const;
   CallResult HeldBack(const RelayCall& call) const;
@@ -104,6 +105,8 @@
   std::uint64_t next_id_ = 1;
   RunningRequests requests_;
   RepeatBudget repeats_;
+  // Routes of which less than the whole share was admitted, and since when.
+  std::unordered_map<std::string, support::TimePoint> held_back_since_;
   std::uint32_t broken_in_a_row_ = 0;
   double cold_per_second_ = 0;
   std::chrono::milliseconds cold_time_{0};
--- a/unittests/relay/rate_guard_test.cc
+++ b/unittests/relay/rate_guard_test.cc
@@ -29,7 +29,9 @@
   }
 
   /// Answers the latest request with \p tokens in all, and says when more come.
-  void Grant(std::uint64_t tokens, std::uint32_t retry_after_ms) {
+  void Grant(std::uint64_t tokens,
+             std::uint32_t retry_after_ms,
+             bool withheld = false) {
     REQUIRE_FALSE(sent_.empty());
     const wire::RateRequest& request = sent_.back();
     wire::RateGrant grant;
@@ -42,6 +44,7 @@
     lease->set_lease(request.reports(0).lease());
     lease->set_granted(tokens);
     lease->set_retry_after_ms(retry_after_ms);
+    lease->set_withheld(withheld);
     guard_.Apply(grant);
     context_.restart();
     context_.poll();
@@ -94,5 +97,21 @@
   CHECK(Count(false) >= 18);
 }
 
+// Guards against callers that are told that they are over their rate while the
+// leader is away or has just changed.
+TEST_CASE_METHOD(GuardFixture,
+                 "a refusal names what the token is missing for") {
+  Ask(1);
+  CHECK(guard_.ShortageOf("org") == rates::Shortage::kNoLeader);
+  SECTION("the new leader holds tokens back") {
+    Grant(0, 500, true);
+    CHECK(guard_.ShortageOf("org") == rates::Shortage::kLeaderChange);
+  }
+  SECTION("the organisation has used up its rate") {
+    Grant(0, 500);
+    CHECK(guard_.ShortageOf("org") == rates::Shortage::kRate);
+  }
+}
+
 }  // namespace
 }  // namespace yuccastair::relay
