--- /dev/null
+++ b/unittests/control/leader_change_rates_test.cc
@@ -0,0 +1,92 @@
+// What organisations are granted while one leader follows another.
+
+#include <catch2/catch.hpp>
+#include <cstdint>
+#include <string>
+
+#include "fake_log.h"
+#include "rate_service.h"
+#include "yuccastair/rates/ledger_record.h"
+#include "yuccastair/state/table_dispatcher.h"
+
+namespace yuccastair::control {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr double kRate = 100;
+constexpr double kBurst = 100;
+
+/// Leaders that follow each other on one log, and nodes that ask for as many
+/// tokens as they can get and keep them.
+class LeaderChanges {
+ public:
+  LeaderChanges() { tables_.Add(wire::TABLE_RATES, record_); }
+
+  /// Lets another leader take over.
+  void ChangeLeader() {
+    log_.leader = false;
+    service_.Tick();
+    log_.leader = true;
+    service_.Tick();
+  }
+
+  /// Lets \p time pass in which new nodes spend whatever they get; returns the
+  /// tokens that were granted.
+  std::uint64_t SpendFor(milliseconds time) {
+    constexpr milliseconds kStep{20};
+    std::uint64_t granted = 0;
+    for (auto passed = milliseconds(0); passed < time; passed += kStep) {
+      clock_.Advance(kStep);
+      granted += AskAndSpend();
+    }
+    return granted;
+  }
+
+ private:
+  std::uint64_t AskAndSpend() {
+    wire::RateRequest request;
+    request.set_node_id("n" + std::to_string(++asked_));
+    request.set_incarnation("i");
+    request.set_sequence(1);
+    wire::LeaseReport* report = request.add_reports();
+    report->set_organisation("acme");
+    report->set_lease(1);
+    report->set_need(1000);
+    const wire::RateGrant grant = service_.Handle(request);
+    const std::uint64_t granted = grant.grants(0).granted();
+    request.set_sequence(2);
+    report->set_epoch(grant.epoch());
+    report->set_spent(granted);
+    report->set_need(0);
+    service_.Handle(request);
+    return granted;
+  }
+
+  int asked_ = 0;
+  support::ManualClock clock_;
+  rates::LedgerRecord record_;
+  state::TableDispatcher tables_;
+  FakeLog log_{tables_};
+  RateService service_{log_, clock_, [](const std::string&) {
+                         return std::optional(rates::RateLimit{kRate, kBurst});
+                       }};
+};
+
+// Guards against an outage of every organisation for the time of a lease after
+// two leaders were lost one after the other.
+TEST_CASE("organisations keep their rate while leaders follow each other") {
+  const int leaders = GENERATE(1, 2, 3);
+  LeaderChanges changes;
+  changes.SpendFor(milliseconds(5000));
+  for (int i = 0; i < leaders; ++i) {
+    changes.ChangeLeader();
+    const std::uint64_t granted = changes.SpendFor(milliseconds(1000));
+    CAPTURE(leaders, i);
+    CHECK(granted >= 0.95 * kRate);
+    CHECK(granted <= 1.05 * kRate);
+  }
+}
+
+}  // namespace
+}  // namespace yuccastair::control
