Count the ledgers that may have tokens outstanding, and grant at the full rate

Cause: a mark in the log told a new leader only whether its predecessor had outlived the tokens before it. If not, the ledger took the whole burst for outstanding and granted nothing for a lease time, 3.03 s, and each further leader began that time anew. Class of fault: a recovery time that starts again with every event of the outage.

Ruled out: organisations over their rate (the line added for this says that the leader holds tokens back), an election that takes long (0.75 and 0.9 s).

Change: the mark counts the ledgers since the last settled one. Each may have half outstanding of what the earlier ones have left, so that the sum stays within the burst, and what has arisen since its start is granted at once. A mark of an older version counts as an unknown number, as before.

--- a/benchmarks/rates_benchmark.cc
+++ b/benchmarks/rates_benchmark.cc
@@ -27,7 +27,7 @@
       [&](const std::string&) {
         return std::optional(rates::RateLimit{fleet_rate, fleet_rate});
       },
-      rates::RateLedger::Predecessor::kNone, 1);
+      0, 1);
   std::vector<std::unique_ptr<rates::TokenLeases>> leases;
   leases.reserve(nodes);
   std::vector<double> due(nodes, 0);
--- a/include/yuccastair/rates/ledger_record.h
+++ b/include/yuccastair/rates/ledger_record.h
@@ -3,6 +3,8 @@
 #ifndef YUCCASTAIR_RATES_LEDGER_RECORD_H_
 #define YUCCASTAIR_RATES_LEDGER_RECORD_H_
 
+#include <cstdint>
+#include <optional>
 #include <string>
 
 #include "rates.pb.h"
@@ -10,11 +12,15 @@
 
 namespace yuccastair::rates {
 
+/// Returns the number of ledgers whose tokens may be outstanding after the one
+/// of \p mark; nothing if it is not known.
+std::optional<std::uint32_t> LedgersUpTo(const wire::LedgerMark& mark);
+
 /// The table TABLE_RATES of the replicated log.
 ///
 /// A leader commits a mark for its ledger before it grants anything, and
-/// another one when the ledger is settled. So a new leader knows whether tokens
-/// of more than one earlier ledger may be outstanding.
+/// another one when the ledger is settled. So a new leader knows of how many
+/// earlier ledgers tokens may be outstanding.
 class LedgerRecord final : public consensus::StateMachine {
  public:
   /// Applies a wire::LedgerMark and returns the mark that stood before. A mark
--- a/include/yuccastair/rates/rate_ledger.h
+++ b/include/yuccastair/rates/rate_ledger.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <list>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -26,30 +27,23 @@
 ///
 /// A lease that ends without a report counts as spent at its end.
 ///
-/// At most half of the burst is ever outstanding under one ledger. A new leader
-/// therefore knows that tokens of a settled predecessor amount to no more than
-/// that half: it starts with nothing available and this half outstanding until
-/// those tokens have expired, and grants at the full rate from its first
-/// moment. Where the predecessor was not settled, tokens of several ledgers may
-/// be outstanding, and nothing is granted until all have expired.
+/// Tokens of earlier ledgers may be outstanding for the time of a lease after
+/// this one has started. What they may amount to is bounded by their number:
+/// the first ledger has at most half of the burst outstanding, and each one
+/// that follows before the tokens of the earlier ones have expired at most half
+/// of what these have left. A ledger therefore starts with nothing available
+/// and that much outstanding, and grants at the full rate from its first
+/// moment, also where several leaders follow each other at once.
 class RateLedger {
  public:
-  /// What is known of the ledger before this one.
-  enum class Predecessor {
-    /// There was never one: no node holds tokens.
-    kNone,
-    /// It had outlived every token of the ledgers before itself.
-    kSettled,
-    /// It may have ended before that, or nothing is known.
-    kUnsettled,
-  };
-
   /// \p clock outlives the ledger. The ledger must be created after every
-  /// earlier leader has granted its last token. \p epoch is not 0 and differs
+  /// earlier leader has granted its last token. \p earlier_ledgers is the
+  /// number of those whose tokens may be outstanding; where it is not known,
+  /// nothing is granted until all have expired. \p epoch is not 0 and differs
   /// from that of every other ledger.
   RateLedger(const support::Clock& clock,
              LimitLookup limits,
-             Predecessor predecessor,
+             std::optional<std::uint32_t> earlier_ledgers,
              std::uint64_t epoch,
              std::chrono::milliseconds ttl = kLeaseTtl);
 
@@ -92,10 +86,14 @@
     std::unordered_map<std::string, std::list<Lease>::iterator> by_holder;
     // Sum over `leases`.
     std::uint64_t outstanding = 0;
-    // Tokens that earlier leaders may have granted.
+    // Tokens that earlier leaders may have granted; 0 once they have expired.
     double inherited = 0;
+    // Bound of `outstanding` while there are such tokens.
+    double bound_after_inherited = 0;
   };
 
+  /// Tokens that may be outstanding under this ledger now.
+  static double OutstandingBound(const Account& account);
   Account& AccountOf(const std::string& organisation, const RateLimit& limit);
   void HandleReport(const std::string& holder,
                     std::uint64_t sequence,
@@ -109,7 +107,7 @@
 
   const support::Clock& clock_;
   const LimitLookup limits_;
-  const Predecessor predecessor_;
+  const std::optional<std::uint32_t> earlier_ledgers_;
   const std::chrono::milliseconds ttl_;
   const support::TimePoint started_at_;
   const std::uint64_t epoch_;
--- a/lib/control/rate_service.cc
+++ b/lib/control/rate_service.cc
@@ -4,6 +4,7 @@
 
 #include <utility>
 
+#include "yuccastair/rates/ledger_record.h"
 #include "yuccastair/state/table_dispatcher.h"
 #include "yuccastair/support/id.h"
 #include "yuccastair/support/log.h"
@@ -11,8 +12,6 @@
 namespace yuccastair::control {
 namespace {
 
-using Predecessor = rates::RateLedger::Predecessor;
-
 std::uint64_t RandomEpoch() {
   return (std::uint64_t{support::RandomBelow(0xffffffff)} << 32) |
          (std::uint64_t{support::RandomBelow(0xffffffff)} + 1);
@@ -25,13 +24,12 @@
   return state::EncodeCommand(wire::TABLE_RATES, mark.SerializeAsString());
 }
 
-Predecessor ReadPredecessor(const std::string& result) {
+/// Returns of how many ledgers up to the one before tokens may be outstanding.
+std::optional<std::uint32_t> ReadEarlierLedgers(const std::string& result) {
   wire::LedgerMark mark;
   if (!mark.ParseFromString(result))
-    return Predecessor::kUnsettled;
-  if (mark.epoch() == 0)
-    return Predecessor::kNone;
-  return mark.settled() ? Predecessor::kSettled : Predecessor::kUnsettled;
+    return std::nullopt;
+  return rates::LedgersUpTo(mark);
 }
 
 }  // namespace
@@ -72,12 +70,14 @@
         if (done.status != consensus::ProposeStatus::kCommitted ||
             !log_.IsCurrentLeader())
           return;
-        const Predecessor predecessor = ReadPredecessor(done.result);
-        ledger_.emplace(clock_, limits_, predecessor, epoch);
+        const auto earlier = ReadEarlierLedgers(done.result);
+        ledger_.emplace(clock_, limits_, earlier, epoch);
         marked_settled_ = false;
+        // -1 if their number is not known.
         support::LogInfo(
             "rates.ledger_started",
-            {{"settled_predecessor", predecessor != Predecessor::kUnsettled}});
+            {{"earlier_ledgers",
+              earlier ? static_cast<std::int64_t>(*earlier) : -1}});
       });
 }
 
--- a/lib/rates/rate_ledger.cc
+++ b/lib/rates/rate_ledger.cc
@@ -33,11 +33,19 @@
   return ttl + ttl / kExpiryMarginDivisor;
 }
 
-double OutstandingBound(const RateLimit& limit) {
+/// Tokens that may be outstanding under a ledger that follows none.
+double FirstBound(const RateLimit& limit) {
   // A burst of one could never be granted within its half.
   return std::min(limit.burst, std::max(1.0, limit.burst * kOutstandingShare));
 }
 
+/// Tokens that may be outstanding under \p ledgers that followed each other, at
+/// least one, before any of them had expired.
+double BoundOfLedgers(const RateLimit& limit, std::uint32_t ledgers) {
+  const double left = limit.burst - FirstBound(limit);
+  return limit.burst - left * std::pow(1 - kOutstandingShare, ledgers - 1);
+}
+
 std::uint64_t WholeTokens(double tokens) {
   return tokens < 1 ? 0 : static_cast<std::uint64_t>(tokens);
 }
@@ -54,12 +62,12 @@
 
 RateLedger::RateLedger(const support::Clock& clock,
                        LimitLookup limits,
-                       Predecessor predecessor,
+                       std::optional<std::uint32_t> earlier_ledgers,
                        std::uint64_t epoch,
                        milliseconds ttl)
     : clock_(clock),
       limits_(std::move(limits)),
-      predecessor_(predecessor),
+      earlier_ledgers_(earlier_ledgers),
       ttl_(ttl),
       started_at_(clock.Now()),
       epoch_(epoch) {}
@@ -155,18 +163,24 @@
       found->second.bucket.SetLimit(limit, clock_.Now());
     return found->second;
   }
-  double inherited = 0;
-  if (predecessor_ == Predecessor::kSettled)
-    inherited = OutstandingBound(limit);
-  else if (predecessor_ == Predecessor::kUnsettled)
-    inherited = limit.burst;
-  const double level =
-      predecessor_ == Predecessor::kNone ? limit.burst : inherited;
-  Account account(TokenBucket(limit, level, started_at_));
+  if (earlier_ledgers_ == 0)
+    return accounts_
+        .emplace(organisation,
+                 Account(TokenBucket(limit, limit.burst, started_at_)))
+        .first->second;
+  const double inherited =
+      earlier_ledgers_ ? BoundOfLedgers(limit, *earlier_ledgers_) : limit.burst;
+  Account account(TokenBucket(limit, inherited, started_at_));
   account.inherited = inherited;
+  account.bound_after_inherited = (limit.burst - inherited) * kOutstandingShare;
   return accounts_.emplace(organisation, std::move(account)).first->second;
 }
 
+double RateLedger::OutstandingBound(const Account& account) {
+  return account.inherited > 0 ? account.bound_after_inherited
+                               : FirstBound(account.bucket.limit());
+}
+
 void RateLedger::Record(Account& account,
                         Lease& lease,
                         const wire::LeaseReport& report) {
@@ -205,7 +219,7 @@
       static_cast<double>(account.outstanding) + account.inherited;
   const double level = account.bucket.Level(clock_.Now()) - out;
   const double room =
-      OutstandingBound(limit) - static_cast<double>(account.outstanding);
+      OutstandingBound(account) - static_cast<double>(account.outstanding);
   const std::uint64_t available = WholeTokens(std::min(level, room));
   const std::uint64_t held = lease.outstanding();
   const std::uint64_t need = report.need() > held ? report.need() - held : 0;
@@ -251,8 +265,7 @@
 }
 
 bool RateLedger::IsSettled() const {
-  return predecessor_ == Predecessor::kNone ||
-         clock_.Now() - started_at_ >= LedgerTtl(ttl_);
+  return earlier_ledgers_ == 0 || clock_.Now() - started_at_ >= LedgerTtl(ttl_);
 }
 
 std::size_t RateLedger::lease_count() const {
--- a/unittests/rates/fleet_simulation.h
+++ b/unittests/rates/fleet_simulation.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -34,7 +35,7 @@
     nodes_.resize(nodes);
     for (std::size_t i = 0; i < nodes_.size(); ++i)
       StartNode(i);
-    StartLeader(RateLedger::Predecessor::kNone);
+    StartLedger(0);
   }
 
   /// A new process in the place of node \p index; its waiting requests end.
@@ -46,9 +47,16 @@
     node.waiting.clear();
   }
 
-  void StartLeader(RateLedger::Predecessor predecessor) {
+  /// Another leader takes over, which knows how many ledgers there were since
+  /// the last settled one.
+  void ChangeLeader() {
+    earlier_ledgers_ = ledger->IsSettled() ? 1 : earlier_ledgers_ + 1;
+    StartLedger(earlier_ledgers_);
+  }
+
+  void StartLedger(std::optional<std::uint32_t> earlier_ledgers) {
     ledger = std::make_unique<RateLedger>(
-        clock, [this](const std::string&) { return limit; }, predecessor,
+        clock, [this](const std::string&) { return limit; }, earlier_ledgers,
         ++epochs_);
   }
 
@@ -190,6 +198,7 @@
   std::vector<Node> nodes_;
   int incarnations_ = 0;
   std::uint64_t epochs_ = 0;
+  std::uint32_t earlier_ledgers_ = 0;
   std::multimap<support::TimePoint, Message> messages_;
   double ideal_level_ = limit->burst;
   support::TimePoint ideal_at_ = clock.Now();
