--- a/include/yuccastair/admission/call_queue.h
+++ b/include/yuccastair/admission/call_queue.h
@@ -32,15 +32,19 @@
   std::uint32_t rank = 0;
   /// 1 for a call of a caller; more for work in progress.
   std::uint32_t depth = 1;
+  /// When the caller's request began that the call belongs to.
+  support::TimePoint requested_at;
   support::TimePoint deadline;
   /// The call is rejected if it still waits then.
   support::TimePoint queue_until = support::TimePoint::max();
 };
 
 /// Orders calls by importance, then rank, then work in progress before new
-/// work, then fairly across organisations, then deeper calls and earlier
-/// deadlines first. Without the rank, a route whose calls are deeper or end
-/// earlier takes the place of a more urgent one of the same organisation.
+/// work, then fairly across organisations. Within one organisation the calls of
+/// older requests go first, then deeper calls and earlier deadlines: a request
+/// that needs several calls has lost the work of those that were served if a
+/// later one is refused. Without the rank, a route whose calls are deeper or
+/// end earlier takes the place of a more urgent one of the same organisation.
 ///
 /// Fairness is start-time fair queueing within each band of importance, rank
 /// and progress: an organisation's next call is tagged with the later of the
@@ -92,9 +96,13 @@
   std::size_t size() const { return entries_.size(); }
 
  private:
-  // Order within one organisation: deepest, then earliest deadline, then
-  // oldest. The depth is negated.
-  using Key = std::tuple<std::int64_t, support::TimePoint, std::uint64_t>;
+  // Order within one organisation: of the oldest request, where work is in
+  // progress, then deepest, then earliest deadline, then oldest. The depth is
+  // negated.
+  using Key = std::tuple<support::TimePoint,
+                         std::int64_t,
+                         support::TimePoint,
+                         std::uint64_t>;
 
   struct Entry {
     Call call;
--- a/lib/admission/call_queue.cc
+++ b/lib/admission/call_queue.cc
@@ -27,7 +27,9 @@
   Band& band = bands_[index];
   Organisation& organisation = band.organisations[call.organisation];
   const std::uint64_t sequence = next_sequence_++;
-  const Key key{-static_cast<std::int64_t>(call.depth), call.deadline,
+  const support::TimePoint begun =
+      call.depth > 1 ? call.requested_at : support::TimePoint();
+  const Key key{begun, -static_cast<std::int64_t>(call.depth), call.deadline,
                 sequence};
   if (organisation.calls.empty()) {
     organisation.tag = std::max(band.virtual_time, organisation.finish);
--- a/lib/relay/call.h
+++ b/lib/relay/call.h
@@ -78,6 +78,8 @@
   bool repeat = false;
   /// The call of a request that runs again; counts as a repeat at its target.
   bool inherited_repeat = false;
+  /// When the caller's request began that the call belongs to.
+  support::TimePoint requested_at;
   /// When the caller stops waiting or the route's timeout is over.
   support::TimePoint deadline;
   /// Rejected if it still waits for a slot then.
--- a/lib/relay/entry.cc
+++ b/lib/relay/entry.cc
@@ -155,6 +155,7 @@
   RemovePeerHeaders(call.head);
   stream::RemoveHopByHop(call.head);
   call.caller_service = service_;
+  call.requested_at = request.began;
 
   request.policy = parts_.fleet.policy();
   if (!request.policy) {
@@ -214,6 +215,7 @@
   call.importance = request.parent->importance;
   call.rank = request.parent->rank;
   call.depth = request.parent->depth + 1;
+  call.requested_at = request.parent->requested_at;
   call.inherited_repeat = request.parent->repeated;
 }
 
--- a/lib/relay/peer_protocol.cc
+++ b/lib/relay/peer_protocol.cc
@@ -22,8 +22,8 @@
 constexpr const char* kHeader = "yc";
 constexpr char kSeparator = '\t';
 // Deadline ms, queue ms, importance, rank, depth, idempotent, repeat, inherited
-// repeat.
-constexpr std::size_t kCallNumbers = 8;
+// repeat, age of the caller's request in ms.
+constexpr std::size_t kCallNumbers = 9;
 // Numbers, request id, service, route, organisation, caller service.
 constexpr std::size_t kCallParts = 6;
 // Outcome, status of the target, reached, retry after ms, running, queued,
@@ -87,7 +87,8 @@
   std::string text = Join<kCallNumbers>(
       {TimeLeft(call.deadline, now).count(),
        TimeLeft(call.queue_until, now).count(), call.importance, call.rank,
-       call.depth, call.idempotent, call.repeat, call.inherited_repeat});
+       call.depth, call.idempotent, call.repeat, call.inherited_repeat,
+       TimeLeft(now, call.requested_at).count()});
   for (const std::string* part : {&call.request_id, &call.service, &call.route,
                                   &call.organisation, &call.caller_service}) {
     text += kSeparator;
@@ -108,7 +109,7 @@
   if (!numbers || request_id.empty() || service.empty())
     return false;
   const auto [deadline, queue, importance, rank, depth, idempotent, repeat,
-              inherited] = *numbers;
+              inherited, age] = *numbers;
   if (!wire::Importance_IsValid(static_cast<int>(importance)))
     return false;
   call.request_id = std::move(request_id);
@@ -118,6 +119,7 @@
   call.caller_service = std::move(caller);
   call.deadline = now + milliseconds(deadline);
   call.queue_until = now + milliseconds(queue);
+  call.requested_at = now - milliseconds(age);
   call.importance = static_cast<wire::Importance>(importance);
   call.rank = static_cast<std::uint32_t>(rank);
   call.depth = static_cast<std::uint32_t>(depth);
--- a/lib/relay/running_requests.h
+++ b/lib/relay/running_requests.h
@@ -19,6 +19,8 @@
 struct RunningRequest {
   std::string id;
   support::TimePoint deadline;
+  /// When the caller's request began that it belongs to.
+  support::TimePoint requested_at;
   wire::Importance importance = wire::IMPORTANCE_NORMAL;
   std::uint32_t rank = 0;
   std::uint32_t depth = 1;
--- a/lib/relay/target_proxy.cc
+++ b/lib/relay/target_proxy.cc
@@ -193,6 +193,7 @@
   arrival.importance = call.importance;
   arrival.rank = call.rank;
   arrival.depth = call.depth;
+  arrival.requested_at = call.requested_at;
   arrival.deadline = call.deadline;
   arrival.queue_until = call.queue_until;
   admission::Admission::Decisions decisions;
@@ -278,6 +279,7 @@
     auto running = std::make_shared<RunningRequest>(
         RunningRequest{.id = call.request_id,
                        .deadline = call.deadline,
+                       .requested_at = call.requested_at,
                        .importance = call.importance,
                        .rank = call.rank,
                        .depth = call.depth,
--- a/rig/chain_simulation.h
+++ b/rig/chain_simulation.h
@@ -191,6 +191,7 @@
     call.route = kind.route;
     call.rank = parent ? parent->call.rank : kind.rank;
     call.depth = parent ? parent->call.depth + 1 : 1;
+    call.requested_at = parent ? parent->call.requested_at : clock_.Now();
     call.deadline = clock_.Now() + kind.deadline;
     if (parent)
       call.deadline = std::min(call.deadline, parent->call.deadline);
--- a/unittests/admission/call_queue_test.cc
+++ b/unittests/admission/call_queue_test.cc
@@ -57,6 +57,32 @@
   CHECK(PopAll() == Ids{4, 3, 2, 1});
 }
 
+// Guards against the first calls of many requests that go before the last call
+// of each, so that hardly any request is served whole.
+TEST_CASE_METHOD(QueueFixture, "calls of the oldest request go first") {
+  Call first_call_of_new = MakeCall(1, "a", wire::IMPORTANCE_NORMAL, 3);
+  first_call_of_new.requested_at = now_ - milliseconds(100);
+  Call last_call_of_old =
+      MakeCall(2, "a", wire::IMPORTANCE_NORMAL, 2, milliseconds(2000));
+  last_call_of_old.requested_at = now_ - milliseconds(300);
+  Push(first_call_of_new);
+  Push(last_call_of_old);
+  CHECK(PopAll() == Ids{2, 1});
+}
+
+// Guards against new work that waits in the order of its age: a caller with a
+// near deadline would be served too late.
+TEST_CASE_METHOD(QueueFixture, "the age of new work does not change its turn") {
+  Call patient =
+      MakeCall(1, "a", wire::IMPORTANCE_NORMAL, 1, milliseconds(2000));
+  patient.requested_at = now_ - milliseconds(300);
+  Call urgent = MakeCall(2, "a", wire::IMPORTANCE_NORMAL, 1);
+  urgent.requested_at = now_ - milliseconds(100);
+  Push(patient);
+  Push(urgent);
+  CHECK(PopAll() == Ids{2, 1});
+}
+
 // Guards against an urgent route whose calls wait behind those of a less urgent
 // one because these are deeper and end earlier.
 TEST_CASE_METHOD(QueueFixture, "the rank of the route comes before depth") {
--- a/unittests/relay/peer_protocol_test.cc
+++ b/unittests/relay/peer_protocol_test.cc
@@ -26,6 +26,7 @@
   call.depth = 2;
   call.idempotent = true;
   call.repeat = true;
+  call.requested_at = now - 250ms;
   call.deadline = now + 700ms;
   call.queue_until = now + 90ms;
   return call;
@@ -45,6 +46,7 @@
   CHECK(got.rank == 3);
   CHECK(got.depth == 2);
   CHECK(got.idempotent);
+  CHECK(got.requested_at == sent.requested_at);
   CHECK(got.deadline == sent.deadline);
   CHECK(got.queue_until == sent.queue_until);
   CHECK(got.head.target() == "/a/b?c");
--- a/unittests/relay/running_requests_test.cc
+++ b/unittests/relay/running_requests_test.cc
@@ -14,8 +14,11 @@
 RunningRequests::Held Request(support::TimePoint deadline,
                               wire::Importance importance,
                               const std::string& id = "") {
-  return std::make_shared<RunningRequest>(
-      RunningRequest{.id = id, .deadline = deadline, .importance = importance});
+  auto request = std::make_shared<RunningRequest>();
+  request->id = id;
+  request->deadline = deadline;
+  request->importance = importance;
+  return request;
 }
 
 // Guards against calls of unimportant requests that displace important ones.
