Let held back routes return by time, and start hardly anything in an outage

Cause: CallThrottle changed the share of a route only after eight of its requests had ended at one target, and admitted a fifth of the arrivals at least. Class of fault: a recovery that counts samples at each instance in place of time.

Ruled out: the admission of the deep service (its slots are free then), lost members (every target is known).

Change: a share changes after half a second with whatever has ended, grows by powers of 1.5 while nothing is refused, falls to half at most in one step unless refusals go on, and its least admits one request a second.

--- a/include/yuccastair/admission/call_throttle.h
+++ b/include/yuccastair/admission/call_throttle.h
@@ -29,17 +29,21 @@
   /// than 1 / kHeadroom of the requests succeed. With 1.3, a route of which 20%
   /// failed at random was served 77% of the rest.
   static constexpr double kHeadroom = 1.5;
-  /// Least share that is admitted, so that no route is starved and the end of
-  /// the overload is seen.
-  static constexpr double kLeastShare = 0.2;
-  /// Least share of one importance: the less important requests of a route are
-  /// not starved while the share goes to the others.
-  static constexpr double kLeastOfImportance = kLeastShare / 2;
+  /// Requests of a route that are admitted each second at least, so that no
+  /// route is starved and the end of an outage is seen.
+  static constexpr double kProbesPerSecond = 1;
+  /// Least share of one importance, as part of the least share of the route:
+  /// the less important requests are not starved while the share goes to the
+  /// others.
+  static constexpr double kLeastOfImportance = 0.5;
   /// Time between two changes of a share: the calls of most requests have been
   /// answered by then.
   static constexpr std::chrono::milliseconds kInterval{400};
-  /// Ended requests that a change needs.
-  static constexpr std::uint32_t kLeastEnded = 8;
+  /// Ended requests that a change needs before kLongestInterval has passed.
+  /// Afterwards one is enough: the time to return must not grow as a target
+  /// gets fewer requests.
+  static constexpr std::uint32_t kLeastEnded = 6;
+  static constexpr std::chrono::milliseconds kLongestInterval{500};
 
   explicit CallThrottle(const support::Clock& clock) : clock_(clock) {}
 
@@ -56,8 +60,14 @@
   static constexpr std::size_t kImportances = wire::Importance_ARRAYSIZE;
 
   struct Route {
-    // In [kLeastShare, 1].
+    // In [least, 1].
     double share = 1;
+    // The share that admits kProbesPerSecond.
+    double least = 0.01;
+    // Changes in a row before which nothing was refused, and before which
+    // something was; one of them is 0.
+    std::uint32_t clean = 0;
+    std::uint32_t reduced = 0;
     support::TimePoint changed_at;
     // Since the last change.
     std::uint32_t ended = 0;
@@ -69,7 +79,10 @@
     std::array<double, kImportances> credit{};
   };
 
-  void Change(Route& route);
+  bool IsChangeDue(const Route& route) const;
+  void Change(Route& route) const;
+  /// Returns by how much the share is multiplied.
+  static double Factor(Route& route);
   static void Spread(Route& route);
 
   const support::Clock& clock_;
--- a/lib/admission/call_throttle.cc
+++ b/lib/admission/call_throttle.cc
@@ -3,6 +3,7 @@
 #include "yuccastair/admission/call_throttle.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 
 namespace yuccastair::admission {
@@ -10,6 +11,14 @@
 
 // Routes that are remembered; requests of others are not held back.
 constexpr std::size_t kMaxRoutes = 2048;
+// The share grows faster the longer nothing is refused, up to kHeadroom to the
+// power of one less than this.
+constexpr std::uint32_t kMaxClean = 4;
+// Least factor of a single change. A share that has grown too far loses nearly
+// all requests of an interval though a little less would fit; only refusals
+// that go on are taken for an outage.
+constexpr double kLeastFactor = 0.5;
+constexpr std::uint32_t kReducedOfOutage = 3;
 
 }  // namespace
 
@@ -39,14 +48,37 @@
   Route& route = routes_[name];
   ++route.ended;
   route.refused += calls_refused ? 1 : 0;
-  if (route.ended >= kLeastEnded &&
-      clock_.Now() - route.changed_at >= kInterval)
+  if (IsChangeDue(route))
     Change(route);
 }
 
-void CallThrottle::Change(Route& route) {
+bool CallThrottle::IsChangeDue(const Route& route) const {
+  const auto passed = clock_.Now() - route.changed_at;
+  return passed >= kLongestInterval ||
+         (passed >= kInterval && route.ended >= kLeastEnded);
+}
+
+double CallThrottle::Factor(Route& route) {
+  if (route.refused == 0) {
+    route.reduced = 0;
+    route.clean = std::min(route.clean + 1, kMaxClean);
+    return std::pow(kHeadroom, std::max<std::uint32_t>(route.clean - 1, 1));
+  }
+  route.clean = 0;
+  route.reduced = std::min(route.reduced + 1, kReducedOfOutage);
   const double served = 1 - static_cast<double>(route.refused) / route.ended;
-  route.share = std::clamp(route.share * kHeadroom * served, kLeastShare, 1.0);
+  const double factor = kHeadroom * served;
+  return route.reduced < kReducedOfOutage ? std::max(factor, kLeastFactor)
+                                          : factor;
+}
+
+void CallThrottle::Change(Route& route) const {
+  const std::chrono::duration<double> passed = clock_.Now() - route.changed_at;
+  const double arrived =
+      std::accumulate(route.arrived.begin(), route.arrived.end(), 0.0);
+  if (arrived > 0)
+    route.least = std::min(1.0, kProbesPerSecond * passed.count() / arrived);
+  route.share = std::clamp(route.share * Factor(route), route.least, 1.0);
   Spread(route);
   route.changed_at = clock_.Now();
   route.ended = 0;
@@ -64,7 +96,7 @@
     // An importance that did not arrive lately is rare enough to be admitted.
     const double part = wanted > 0 ? std::clamp(left / wanted, 0.0, 1.0) : 1;
     left -= part * wanted;
-    route.admitted[rank] = std::max(part, kLeastOfImportance);
+    route.admitted[rank] = std::max(part, kLeastOfImportance * route.least);
   }
 }
 
