Let a route that is far below its share return faster

Cause: a least of one request a second and powers of 1.5 need four seconds for a route with a hundred requests a second at one target.

Change: at least one request in 25 is admitted, and below a fifth the share grows by the next higher power while nothing is refused.

--- a/include/yuccastair/admission/call_throttle.h
+++ b/include/yuccastair/admission/call_throttle.h
@@ -32,6 +32,8 @@
   /// Requests of a route that are admitted each second at least, so that no
   /// route is starved and the end of an outage is seen.
   static constexpr double kProbesPerSecond = 1;
+  /// Least share of a route with many requests, which shows that end sooner.
+  static constexpr double kLeastShare = 0.04;
   /// Least share of one importance, as part of the least share of the route:
   /// the less important requests are not starved while the share goes to the
   /// others.
@@ -62,8 +64,8 @@
   struct Route {
     // In [least, 1].
     double share = 1;
-    // The share that admits kProbesPerSecond.
-    double least = 0.01;
+    // The share that admits kProbesPerSecond; at least kLeastShare.
+    double least = kLeastShare;
     // Changes in a row before which nothing was refused, and before which
     // something was; one of them is 0.
     std::uint32_t clean = 0;
--- a/lib/admission/call_throttle.cc
+++ b/lib/admission/call_throttle.cc
@@ -11,9 +11,12 @@
 
 // Routes that are remembered; requests of others are not held back.
 constexpr std::size_t kMaxRoutes = 2048;
-// The share grows faster the longer nothing is refused, up to kHeadroom to the
-// power of one less than this.
+// The share grows by powers of kHeadroom, faster the longer nothing is refused,
+// and faster still below kFarBelow: so small a share stands for an outage, and
+// what is served shows that it is over.
 constexpr std::uint32_t kMaxClean = 4;
+constexpr std::uint32_t kMinPower = 1;
+constexpr double kFarBelow = 0.2;
 // Least factor of a single change. A share that has grown too far loses nearly
 // all requests of an interval though a little less would fit; only refusals
 // that go on are taken for an outage.
@@ -62,7 +65,10 @@
   if (route.refused == 0) {
     route.reduced = 0;
     route.clean = std::min(route.clean + 1, kMaxClean);
-    return std::pow(kHeadroom, std::max<std::uint32_t>(route.clean - 1, 1));
+    const std::uint32_t power = route.share < kFarBelow
+                                    ? route.clean + 1
+                                    : std::max(route.clean, kMinPower + 1) - 1;
+    return std::pow(kHeadroom, power);
   }
   route.clean = 0;
   route.reduced = std::min(route.reduced + 1, kReducedOfOutage);
@@ -77,7 +83,8 @@
   const double arrived =
       std::accumulate(route.arrived.begin(), route.arrived.end(), 0.0);
   if (arrived > 0)
-    route.least = std::min(1.0, kProbesPerSecond * passed.count() / arrived);
+    route.least = std::clamp(kProbesPerSecond * passed.count() / arrived,
+                             kLeastShare, 1.0);
   route.share = std::clamp(route.share * Factor(route), route.least, 1.0);
   Spread(route);
   route.changed_at = clock_.Now();
