End every process at once and let them return in random order

The time of each seed is printed.

The client code of the soak moves to system_client.h, which both tests use; the soak's checks are unchanged.

--- a/unittests/platform/soak_layout.h
+++ b/unittests/platform/soak_layout.h
@@ -4,6 +4,7 @@
 #define YUCCASTAIR_UNITTESTS_PLATFORM_SOAK_LAYOUT_H_
 
 #include <cstdint>
+#include <filesystem>
 #include <nlohmann/json.hpp>
 #include <string>
 
@@ -27,17 +28,23 @@
   support::Address TargetCalls(int i) const { return RelayPort(i, 1); }
   support::Address Ready(int i) const { return RelayPort(i, 2); }
 
+  std::filesystem::path DataDir(int i) const {
+    return dir_.path() / ("control-" + std::to_string(i));
+  }
+
   /// Writes the settings of a control process and returns the file's path.
-  std::string ControlSettings(int i) const {
+  /// Only the first start of the whole system forms the cluster.
+  std::string ControlSettings(int i, bool form_cluster = true) const {
     const std::string id = "control-" + std::to_string(i);
-    return dir_.Write(id + ".toml",
-                      "[control]\nid = \"" + id +
-                          "\"\navailability_zone = \"z" + std::to_string(i) +
-                          "\"\npeer_listen = \"" + ControlPeer(i).ToString() +
-                          "\"\noperator_listen = \"" + Port(20 + i).ToString() +
-                          "\"\npolicy_listen = \"" + Policy(i).ToString() +
-                          "\"\ndata_dir = \"" + (dir_.path() / id).string() +
-                          "\"\nseeds = " + Seeds() + "\nform_cluster = true\n");
+    return dir_.Write(
+        id + ".toml",
+        "[control]\nid = \"" + id + "\"\navailability_zone = \"z" +
+            std::to_string(i) + "\"\npeer_listen = \"" +
+            ControlPeer(i).ToString() + "\"\noperator_listen = \"" +
+            Port(20 + i).ToString() + "\"\npolicy_listen = \"" +
+            Policy(i).ToString() + "\"\ndata_dir = \"" + DataDir(i).string() +
+            "\"\nseeds = " + Seeds() +
+            "\nform_cluster = " + (form_cluster ? "true" : "false") + "\n");
   }
 
   /// The same for a relay beside a target.
--- a/unittests/platform/soak_test.cc
+++ b/unittests/platform/soak_test.cc
@@ -16,8 +16,8 @@
 
 #include "relay/scripted_target.h"
 #include "soak_layout.h"
+#include "system_client.h"
 #include "system_process.h"
-#include "yuccastair/stream/client.h"
 
 namespace yuccastair {
 namespace {
@@ -36,7 +36,6 @@
 // Conditions that must come about, on a machine as busy as may be.
 constexpr auto kLimit = 30s;
 constexpr auto kCallPause = 25ms;
-constexpr auto kHeartbeat = 300ms;
 // A target in a zone out of service that is sent nothing for this long while
 // callers go on is left out.
 constexpr auto kQuiet = 500ms;
@@ -51,14 +50,6 @@
     throw Violation(message);
 }
 
-struct Answer {
-  unsigned status = 0;
-  std::string id;
-  std::string body;
-  // Whether the whole request was written.
-  bool sent = false;
-};
-
 struct Request {
   std::string id;
   std::string path;
@@ -66,7 +57,7 @@
   Answer answer;
 };
 
-class Soak {
+class Soak : private SystemClient {
  public:
   explicit Soak(std::uint64_t seed) : random_(seed), layout_(seed) {
     for (int i = 0; i < SoakLayout::kControls; ++i)
@@ -74,7 +65,7 @@
           std::make_unique<Process>("control", layout_.ControlSettings(i)));
     for (int i = 0; i < kRelays; ++i) {
       targets_.push_back(std::make_unique<relay::ScriptedTarget>(
-          context_,
+          context(),
           "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Seal: s\r\n"
           "Content-Length: 4\r\n\r\nbody",
           relay::ScriptedTarget::After::kKeep, "X-Attempt-Id: "));
@@ -85,16 +76,20 @@
 
   ~Soak() {
     // What runs in the context refers to this object.
-    context_.stop();
+    context().stop();
   }
 
   void Run() {
     Change();
     for (int i = 0; i < kRelays; ++i)
-      asio::co_spawn(context_, Announce(i), asio::detached);
+      asio::co_spawn(context(),
+                     Announce("i-" + std::to_string(i),
+                              targets_[static_cast<std::size_t>(i)]->address(),
+                              layout_.TargetCalls(i), finished_),
+                     asio::detached);
     AwaitServing();
     for (int i = 0; i < kRelays * kCallersOfRelay; ++i)
-      asio::co_spawn(context_, Call(i % kRelays), asio::detached);
+      asio::co_spawn(context(), Call(i % kRelays), asio::detached);
     for (const Step step : Steps()) {
       Take(step);
       RunFor(milliseconds(Below(600)));
@@ -129,10 +124,6 @@
   int Below(int bound) {
     return static_cast<int>(random_() % static_cast<std::uint64_t>(bound));
   }
-  void RunFor(support::Duration time) {
-    context_.restart();
-    context_.run_for(time);
-  }
 
   template <typename Condition>
   void Await(const std::string& what, Condition condition) {
@@ -143,90 +134,9 @@
     }
   }
 
-  Task<void> Exchange(stream::ConnectionPool& pool,
-                      support::Address address,
-                      http::verb method,
-                      std::string path,
-                      std::string body,
-                      std::string id,
-                      Answer& answer) {
-    auto acquired =
-        co_await pool.Acquire(address, support::SteadyClock().Now() + 5s);
-    if (!acquired.connection)
-      co_return;
-    http::header<true> head;
-    head.method(method);
-    head.target(path);
-    head.set("Host", "h.example");
-    head.set("X-Attempt-Id", id);
-    head.set("X-Deadline-Ms", "4000");
-    stream::BodySource source;
-    source.begin = std::move(body);
-    source.length = source.begin.size();
-    stream::ErrorCode error =
-        co_await acquired.connection->Write(std::move(head), source);
-    if (error)
-      co_return;
-    answer.sent = true;
-    auto& reader = acquired.connection->reader();
-    error = co_await reader.ReadHead(65536);
-    if (!error)
-      error = co_await reader.ReadUpTo(answer.body, std::size_t{1} << 20);
-    if (error)
-      co_return;
-    answer.id = std::string(reader.head().base()["X-Attempt-Id"]);
-    answer.status = reader.head().result_int();
-    pool.Release(std::move(acquired.connection), 10s);
-  }
-
-  /// Sends one request on a connection of its own and waits for its answer.
-  Answer Ask(const support::Address& address,
-             http::verb method,
-             const std::string& path,
-             const std::string& body = "") {
-    auto answer = std::make_shared<Answer>();
-    auto done = std::make_shared<bool>(false);
-    asio::co_spawn(
-        context_,
-        [this, address, method, path, body, answer, done]() -> Task<void> {
-          stream::ConnectionPool pool(context_, {});
-          co_await Exchange(pool, address, method, path, body, "probe",
-                            *answer);
-          *done = true;
-        },
-        asio::detached);
-    context_.restart();
-    while (!*done)
-      context_.run_one();
-    return *answer;
-  }
-
-  Task<void> Pause(support::Duration time) {
-    asio::steady_timer timer(context_);
-    timer.expires_after(time);
-    co_await timer.async_wait(stream::kAsTuple);
-  }
-
-  Task<void> Announce(int i) {
-    stream::ConnectionPool pool(context_, {});
-    for (int sequence = 1; !finished_; ++sequence) {
-      const json body = {
-          {"addr", targets_[static_cast<std::size_t>(i)]->address().ToString()},
-          {"info", {{"service", "s1"}, {"slots", 20}}},
-          {"status",
-           {{"state", "ready"}, {"seq", sequence}, {"coldLeftMs", 0}}}};
-      Answer answer;
-      co_await Exchange(
-          pool, layout_.TargetCalls(i), http::verb::post,
-          "/yuccastair/Instances.Heartbeat/i-" + std::to_string(i), body.dump(),
-          "beat", answer);
-      co_await Pause(kHeartbeat);
-    }
-  }
-
   Task<void> Call(int relay) {
-    stream::ConnectionPool pool(context_, {});
-    while (!finished_) {
+    stream::ConnectionPool pool(context(), {});
+    while (!*finished_) {
       auto request = std::make_shared<Request>();
       request->id = "r" + std::to_string(requests_.size());
       request->idempotent = Below(2) == 0;
@@ -235,7 +145,7 @@
       co_await Exchange(
           pool, layout_.Callers(relay),
           request->idempotent ? http::verb::get : http::verb::post,
-          request->path, request->idempotent ? "" : "order", request->id,
+          request->path, request->idempotent ? "" : "order", request->id, "",
           request->answer);
       if (request->answer.status == 200)
         ++served_;
@@ -387,7 +297,7 @@
   void Settle() {
     AwaitInForce();
     AwaitServing();
-    finished_ = true;
+    *finished_ = true;
     RunFor(5s);
     Await("the newest document", [&] {
       const Answer read = Ask(layout_.Policy(Below(SoakLayout::kControls)),
@@ -438,7 +348,6 @@
 
   std::mt19937_64 random_;
   const SoakLayout layout_;
-  asio::io_context context_;
   std::vector<std::unique_ptr<relay::ScriptedTarget>> targets_;
   std::vector<std::unique_ptr<Process>> controls_;
   std::vector<std::unique_ptr<Process>> relays_;
@@ -447,7 +356,7 @@
   // The newest acknowledged version, and its document.
   int version_ = 0;
   std::string document_;
-  bool finished_ = false;
+  std::shared_ptr<bool> finished_ = std::make_shared<bool>(false);
 };
 
 std::uint64_t FromEnvironment(const char* name, std::uint64_t fallback) {
--- /dev/null
+++ b/unittests/platform/system_client.h
@@ -0,0 +1,134 @@
+// Callers, targets and operators of a system of real processes.
+
+#ifndef YUCCASTAIR_UNITTESTS_PLATFORM_SYSTEM_CLIENT_H_
+#define YUCCASTAIR_UNITTESTS_PLATFORM_SYSTEM_CLIENT_H_
+
+#include <chrono>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+
+#include "yuccastair/stream/client.h"
+#include "yuccastair/support/address.h"
+#include "yuccastair/support/clock.h"
+
+namespace yuccastair {
+
+struct Answer {
+  unsigned status = 0;
+  std::string id;
+  std::string body;
+  // Whether the whole request was written.
+  bool sent = false;
+};
+
+/// Exchanges on one thread, whose context runs while the test waits.
+class SystemClient {
+ public:
+  stream::asio::io_context& context() { return context_; }
+
+  void RunFor(support::Duration time) {
+    context_.restart();
+    context_.run_for(time);
+  }
+
+  stream::Task<void> Pause(support::Duration time) {
+    stream::asio::steady_timer timer(context_);
+    timer.expires_after(time);
+    co_await timer.async_wait(stream::kAsTuple);
+  }
+
+  /// Sends one request; what is known of its answer goes to \p answer. An empty
+  /// \p key is not sent.
+  stream::Task<void> Exchange(stream::ConnectionPool& pool,
+                              support::Address address,
+                              stream::http::verb method,
+                              std::string path,
+                              std::string body,
+                              std::string id,
+                              std::string key,
+                              Answer& answer) {
+    auto acquired = co_await pool.Acquire(
+        address, support::SteadyClock().Now() + std::chrono::seconds(5));
+    if (!acquired.connection)
+      co_return;
+    stream::http::header<true> head;
+    head.method(method);
+    head.target(path);
+    head.set("Host", "h.example");
+    head.set("X-Attempt-Id", id);
+    head.set("X-Deadline-Ms", "4000");
+    if (!key.empty())
+      head.set("Authorization", "Token " + key);
+    stream::BodySource source;
+    source.begin = std::move(body);
+    source.length = source.begin.size();
+    stream::ErrorCode error =
+        co_await acquired.connection->Write(std::move(head), source);
+    if (error)
+      co_return;
+    answer.sent = true;
+    auto& reader = acquired.connection->reader();
+    error = co_await reader.ReadHead(65536);
+    if (!error)
+      error = co_await reader.ReadUpTo(answer.body, std::size_t{1} << 20);
+    if (error)
+      co_return;
+    answer.id = std::string(reader.head().base()["X-Attempt-Id"]);
+    answer.status = reader.head().result_int();
+    pool.Release(std::move(acquired.connection), std::chrono::seconds(10));
+  }
+
+  /// Sends one request on a connection of its own and waits for its answer.
+  Answer Ask(const support::Address& address,
+             stream::http::verb method,
+             const std::string& path,
+             const std::string& body = "") {
+    auto answer = std::make_shared<Answer>();
+    auto done = std::make_shared<bool>(false);
+    stream::asio::co_spawn(
+        context_,
+        [this, address, method, path, body, answer,
+         done]() -> stream::Task<void> {
+          stream::ConnectionPool pool(context_, {});
+          co_await Exchange(pool, address, method, path, body, "probe", "",
+                            *answer);
+          *done = true;
+        },
+        stream::asio::detached);
+    context_.restart();
+    while (!*done)
+      context_.run_one();
+    return *answer;
+  }
+
+  /// Announces a target of service "s1" to its relay again and again until
+  /// \p finished.
+  stream::Task<void> Announce(std::string id,
+                              support::Address target,
+                              support::Address relay,
+                              std::shared_ptr<const bool> finished) {
+    constexpr std::chrono::milliseconds kHeartbeat{300};
+    stream::ConnectionPool pool(context_, {});
+    for (int sequence = 1; !*finished; ++sequence) {
+      const nlohmann::json body = {
+          {"addr", target.ToString()},
+          {"info", {{"service", "s1"}, {"slots", 20}}},
+          {"status",
+           {{"state", "ready"}, {"seq", sequence}, {"coldLeftMs", 0}}}};
+      Answer answer;
+      co_await Exchange(pool, relay, stream::http::verb::post,
+                        "/yuccastair/Instances.Heartbeat/" + id, body.dump(),
+                        "beat", "", answer);
+      co_await Pause(kHeartbeat);
+    }
+  }
+
+ private:
+  stream::asio::io_context context_;
+};
+
+}  // namespace yuccastair
+
+#endif  // YUCCASTAIR_UNITTESTS_PLATFORM_SYSTEM_CLIENT_H_
--- /dev/null
+++ b/unittests/platform/whole_restart_test.cc
@@ -0,0 +1,246 @@
+// Every process of the system ends at once and returns in random order, under
+// load and while a zone is out of service.
+//
+// YUCCASTAIR_SEED runs one seed; YUCCASTAIR_SEEDS sets how many are run.
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "relay/scripted_target.h"
+#include "soak_layout.h"
+#include "system_client.h"
+#include "system_process.h"
+
+namespace yuccastair {
+namespace {
+
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+using stream::Task;
+namespace asio = stream::asio;
+namespace http = stream::http;
+
+constexpr int kRelays = 3;
+constexpr int kCallersOfRelay = 4;
+constexpr auto kCallPause = 25ms;
+// Conditions before the fault, on a machine as busy as may be.
+constexpr auto kLimit = 30s;
+// Service is to be whole this long after all processes are back.
+constexpr auto kRecoveryTime = 15s;
+constexpr auto kLongestDelay = 1500ms;
+constexpr auto kWindow = 500ms;
+constexpr double kWholeShare = 0.95;
+// Ports of their own beside those of the soak.
+constexpr std::uint64_t kFirstLayout = 30;
+
+class WholeRestart : private SystemClient {
+ public:
+  explicit WholeRestart(std::uint64_t seed)
+      : random_(seed), layout_(kFirstLayout + seed) {
+    for (int i = 0; i < SoakLayout::kControls; ++i)
+      processes_.push_back(
+          std::make_unique<Process>("control", layout_.ControlSettings(i)));
+    for (int i = 0; i < kRelays; ++i) {
+      targets_.push_back(std::make_unique<relay::ScriptedTarget>(
+          context(),
+          "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Seal: s\r\n"
+          "Content-Length: 4\r\n\r\nbody",
+          relay::ScriptedTarget::After::kKeep, "X-Attempt-Id: "));
+      processes_.push_back(std::make_unique<Process>(
+          "relay", layout_.RelaySettings(i, targets_.back()->address())));
+    }
+  }
+
+  ~WholeRestart() {
+    // What runs in the context refers to this object.
+    context().stop();
+  }
+
+  /// Brings the system into service with zone "z0" out.
+  void Begin() {
+    document_ = SoakLayout::Document(0, 1);
+    document_["tenants"] = {{{"name", "acme"},
+                             {"apiKeys", {"key1"}},
+                             {"ratePerS", 2000},
+                             {"burst", 2000}}};
+    Await("a policy", [&] {
+      return Post("/yuccastair/Config.Put", document_.dump()) == 200;
+    });
+    for (int i = 0; i < kRelays; ++i)
+      asio::co_spawn(context(),
+                     Announce("i-" + std::to_string(i), TargetOf(i).address(),
+                              layout_.TargetCalls(i), finished_),
+                     asio::detached);
+    for (int i = 0; i < kRelays * kCallersOfRelay; ++i)
+      asio::co_spawn(context(), Call(i % kRelays), asio::detached);
+    AwaitWhole(kLimit);
+    Await("the evacuation",
+          [&] { return Post("/yuccastair/Evacuations.Start/z0") == 200; });
+    Await("a quiet target in z0", [&] {
+      const std::size_t before = TargetOf(0).requests().size();
+      RunFor(kWindow);
+      return TargetOf(0).requests().size() == before;
+    });
+    AwaitWhole(kLimit);
+  }
+
+  /// Ends all processes and starts them again; one control process may have
+  /// lost its disk.
+  void Restart() {
+    for (const auto& process : processes_)
+      process->Signal(SIGKILL);
+    for (const auto& process : processes_)
+      process->Wait();
+    const int wiped = Below(2 * SoakLayout::kControls);
+    for (int i = 0; i < SoakLayout::kControls; ++i) {
+      layout_.ControlSettings(i, false);
+      if (i == wiped)
+        std::filesystem::remove_all(layout_.DataDir(i));
+    }
+    std::vector<std::pair<milliseconds, Process*>> starts;
+    for (const auto& process : processes_)
+      starts.emplace_back(Below(static_cast<int>(kLongestDelay.count())),
+                          process.get());
+    std::sort(starts.begin(), starts.end());
+    milliseconds passed(0);
+    for (const auto& [delay, process] : starts) {
+      RunFor(delay - passed);
+      passed = delay;
+      process->Start();
+    }
+  }
+
+  /// Waits until nearly all requests are served; returns how long that took.
+  support::Duration AwaitWhole(support::Duration limit) {
+    const auto began = clock_.Now();
+    while (true) {
+      RunFor(100ms);
+      const auto now = clock_.Now();
+      std::size_t ended = 0;
+      std::size_t served = 0;
+      for (auto it = ends_.rbegin();
+           it != ends_.rend() && it->first >= std::max(began, now - kWindow);
+           ++it) {
+        ++ended;
+        served += it->second ? 1 : 0;
+      }
+      if (now - began >= kWindow && ended > 0 &&
+          static_cast<double>(served) >=
+              kWholeShare * static_cast<double>(ended))
+        return now - kWindow - began;
+      if (now - began > limit)
+        FAIL("service did not become whole: " << served << " of " << ended);
+    }
+  }
+
+  std::size_t RequestsInZoneOut() { return TargetOf(0).requests().size(); }
+
+  /// Returns the policy that is read, once there is an answer.
+  nlohmann::json ReadPolicy() {
+    nlohmann::json read;
+    Await("the policy", [&] {
+      const Answer answer = Ask(layout_.Policy(Below(SoakLayout::kControls)),
+                                http::verb::get, "/yuccastair/Config.Get");
+      if (answer.status == 200)
+        read = nlohmann::json::parse(answer.body);
+      return answer.status == 200;
+    });
+    return read;
+  }
+  const nlohmann::json& document() const { return document_; }
+
+  void End() {
+    *finished_ = true;
+    RunFor(200ms);
+  }
+
+ private:
+  int Below(int bound) {
+    return static_cast<int>(random_() % static_cast<std::uint64_t>(bound));
+  }
+
+  relay::ScriptedTarget& TargetOf(int i) {
+    return *targets_[static_cast<std::size_t>(i)];
+  }
+
+  unsigned Post(const std::string& path, const std::string& body = "") {
+    return Ask(layout_.Policy(Below(SoakLayout::kControls)), http::verb::post,
+               path, body)
+        .status;
+  }
+
+  template <typename Condition>
+  void Await(const std::string& what, Condition condition) {
+    const auto end = clock_.Now() + kLimit;
+    while (!condition()) {
+      if (clock_.Now() > end)
+        FAIL(what << " did not come about");
+      RunFor(20ms);
+    }
+  }
+
+  Task<void> Call(int relay) {
+    stream::ConnectionPool pool(context(), {});
+    while (!*finished_) {
+      Answer answer;
+      co_await Exchange(pool, layout_.Callers(relay), http::verb::get,
+                        "/safe/x", "", "r" + std::to_string(++sent_), "key1",
+                        answer);
+      ends_.emplace_back(clock_.Now(), answer.status == 200);
+      co_await Pause(kCallPause);
+    }
+  }
+
+  std::mt19937_64 random_;
+  const support::SteadyClock clock_;
+  const SoakLayout layout_;
+  nlohmann::json document_;
+  std::vector<std::unique_ptr<relay::ScriptedTarget>> targets_;
+  // Those of control, then the relays.
+  std::vector<std::unique_ptr<Process>> processes_;
+  // When each request ended, and whether it was served.
+  std::vector<std::pair<support::TimePoint, bool>> ends_;
+  std::uint64_t sent_ = 0;
+  std::shared_ptr<bool> finished_ = std::make_shared<bool>(false);
+};
+
+std::uint64_t FromEnvironment(const char* name, std::uint64_t fallback) {
+  const char* text = std::getenv(name);
+  return text != nullptr ? std::strtoull(text, nullptr, 10) : fallback;
+}
+
+// Guards against a system that does not come back by itself, forgets what it
+// has acknowledged, or uses a zone that is out while it comes back.
+TEST_CASE("service is whole after every process has ended at once") {
+  constexpr std::uint64_t kDefaultSeeds = 2;
+  const std::uint64_t only = FromEnvironment("YUCCASTAIR_SEED", 0);
+  const std::uint64_t first = only != 0 ? only : 1;
+  const std::uint64_t seeds =
+      only != 0 ? 1 : FromEnvironment("YUCCASTAIR_SEEDS", kDefaultSeeds);
+  for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
+    INFO("again: YUCCASTAIR_SEED=" << seed << " platform_whole_restart_test");
+    WholeRestart system(seed);
+    system.Begin();
+    const std::size_t before = system.RequestsInZoneOut();
+    system.Restart();
+    const auto took = system.AwaitWhole(kRecoveryTime);
+    std::printf("seed %llu: whole %lld ms after the last start\n",
+                static_cast<unsigned long long>(seed),
+                static_cast<long long>(
+                    std::chrono::duration_cast<milliseconds>(took).count()));
+    CHECK(system.RequestsInZoneOut() == before);
+    CHECK(system.ReadPolicy() == system.document());
+    system.End();
+  }
+}
+
+}  // namespace
+}  // namespace yuccastair
