Admit less above a full service, and return by the room that calls find

Cause: a route that is held back admitted 1.5 times what succeeds, whatever its calls had met, and multiplied its share by 1.5 after every half second without a refusal, although a few calls of a full service are often served by chance. Class of fault: a decision that does not tell want of room from other failures.

Ruled out: the order of calls (older requests already go first), and less headroom for all refusals (a route of which 20% fails at random was then served 77% of the rest).

Change: calls tell their request the worst that they have met: room, a target on which others wait, a refusal, or a refusal for want of room. Want of room gets 1.15 to 1.45 times what succeeds, by the share; a share grows by a fifth while the calls are served by full targets, and by 1.5 and more once they find room.

--- a/include/yuccastair/admission/call_throttle.h
+++ b/include/yuccastair/admission/call_throttle.h
@@ -14,6 +14,17 @@
 
 namespace yuccastair::admission {
 
+/// What became of the calls that an admitted request has made.
+enum class CallsEnd : std::uint8_t {
+  kServed,
+  /// All were served, and one by a target on which others still waited.
+  kServedByFull,
+  /// One was turned away or came too late, for whatever reason.
+  kRefused,
+  /// One was turned away because its service has no room.
+  kNoRoom,
+};
+
 /// Answers overload of a service that is called by the own target: a request
 /// that is admitted here and loses one of its calls there has cost slots and
 /// calls and gives nothing, so it is better refused before it begins.
@@ -23,12 +34,18 @@
 /// all served. Not safe for use by several threads.
 class CallThrottle {
  public:
-  /// Admitted requests for each one whose calls are served, in the long run.
-  /// What exceeds 1 keeps the deep service full and lets the share grow again;
-  /// failures that have nothing to do with load throttle nothing while more
-  /// than 1 / kHeadroom of the requests succeed. With 1.3, a route of which 20%
-  /// failed at random was served 77% of the rest.
+  /// Admitted requests for each one whose calls are served, where calls are
+  /// refused for reasons that may have nothing to do with load: these throttle
+  /// nothing while more than 1 / kHeadroom of the requests succeed. With 1.3, a
+  /// route of which 20% failed at random was served 77% of the rest.
   static constexpr double kHeadroom = 1.5;
+  /// The same where most of the refused calls found no room. What exceeds 1
+  /// keeps the deep service full and lets the share grow again, and is wasted:
+  /// the more so the smaller the share is, since the requests that could be
+  /// served instead of the wasted ones are then rare. A route of which nearly
+  /// all requests are served has kHeadroomOfShare more.
+  static constexpr double kHeadroomWithoutRoom = 1.15;
+  static constexpr double kHeadroomOfShare = 0.3;
   /// Requests of a route that are admitted each second at least, so that no
   /// route is starved and the end of an outage is seen.
   static constexpr double kProbesPerSecond = 1;
@@ -53,7 +70,7 @@
   bool Admit(const std::string& route, wire::Importance importance);
 
   /// An admitted request has been answered by the target.
-  void OnEnd(const std::string& route, bool calls_refused);
+  void OnEnd(const std::string& route, CallsEnd end);
 
   /// The share of the new requests of \p route that is admitted now.
   double ShareOf(const std::string& route) const;
@@ -66,14 +83,16 @@
     double share = 1;
     // The share that admits kProbesPerSecond; at least kLeastShare.
     double least = kLeastShare;
-    // Changes in a row before which nothing was refused, and before which
-    // something was; one of them is 0.
+    // Changes in a row before which the calls found room, and before which
+    // something was refused; one of them is 0.
     std::uint32_t clean = 0;
     std::uint32_t reduced = 0;
     support::TimePoint changed_at;
     // Since the last change.
     std::uint32_t ended = 0;
+    std::uint32_t served_by_full = 0;
     std::uint32_t refused = 0;
+    std::uint32_t without_room = 0;
     std::array<std::uint32_t, kImportances> arrived{};
     // Part of each importance that is admitted, and what is left over from
     // earlier arrivals; an arrival is admitted when that reaches 1.
@@ -83,6 +102,7 @@
 
   bool IsChangeDue(const Route& route) const;
   void Change(Route& route) const;
+  static double HeadroomOf(const Route& route);
   /// Returns by how much the share is multiplied.
   static double Factor(Route& route);
   static void Spread(Route& route);
--- a/lib/admission/call_throttle.cc
+++ b/lib/admission/call_throttle.cc
@@ -11,18 +11,25 @@
 
 // Routes that are remembered; requests of others are not held back.
 constexpr std::size_t kMaxRoutes = 2048;
-// The share grows by powers of kHeadroom, faster the longer nothing is refused,
-// and faster still below kFarBelow: so small a share stands for an outage, and
-// what is served shows that it is over.
+// The share grows by powers of kHeadroom, faster the longer the calls find
+// room, and faster still below kFarBelow: so small a share stands for an
+// outage, and what is served shows that it is over.
 constexpr std::uint32_t kMaxClean = 4;
 constexpr std::uint32_t kMinPower = 1;
 constexpr double kFarBelow = 0.2;
+// Growth where the calls are served by targets without room: they may have been
+// served by chance.
+constexpr double kGrowthBelowFull = 1.2;
 // Least factor of a single change. A share that has grown too far loses nearly
 // all requests of an interval though a little less would fit; only refusals
 // that go on are taken for an outage.
 constexpr double kLeastFactor = 0.5;
 constexpr std::uint32_t kReducedOfOutage = 3;
 
+bool IsRefusal(CallsEnd end) {
+  return end == CallsEnd::kRefused || end == CallsEnd::kNoRoom;
+}
+
 }  // namespace
 
 bool CallThrottle::Admit(const std::string& name, wire::Importance importance) {
@@ -41,16 +48,18 @@
   return true;
 }
 
-void CallThrottle::OnEnd(const std::string& name, bool calls_refused) {
+void CallThrottle::OnEnd(const std::string& name, CallsEnd end) {
   if (!routes_.contains(name)) {
     // Only routes that have lost a call are of interest.
-    if (!calls_refused || routes_.size() >= kMaxRoutes)
+    if (!IsRefusal(end) || routes_.size() >= kMaxRoutes)
       return;
     routes_[name].changed_at = clock_.Now();
   }
   Route& route = routes_[name];
   ++route.ended;
-  route.refused += calls_refused ? 1 : 0;
+  route.served_by_full += end == CallsEnd::kServedByFull ? 1 : 0;
+  route.refused += IsRefusal(end) ? 1 : 0;
+  route.without_room += end == CallsEnd::kNoRoom ? 1 : 0;
   if (IsChangeDue(route))
     Change(route);
 }
@@ -61,9 +70,19 @@
          (passed >= kInterval && route.ended >= kLeastEnded);
 }
 
+double CallThrottle::HeadroomOf(const Route& route) {
+  if (2 * route.without_room <= route.refused)
+    return kHeadroom;
+  return kHeadroomWithoutRoom + kHeadroomOfShare * route.share * route.share;
+}
+
 double CallThrottle::Factor(Route& route) {
   if (route.refused == 0) {
     route.reduced = 0;
+    if (2 * route.served_by_full > route.ended) {
+      route.clean = 0;
+      return kGrowthBelowFull;
+    }
     route.clean = std::min(route.clean + 1, kMaxClean);
     const std::uint32_t power = route.share < kFarBelow
                                     ? route.clean + 1
@@ -73,7 +92,7 @@
   route.clean = 0;
   route.reduced = std::min(route.reduced + 1, kReducedOfOutage);
   const double served = 1 - static_cast<double>(route.refused) / route.ended;
-  const double factor = kHeadroom * served;
+  const double factor = HeadroomOf(route) * served;
   return route.reduced < kReducedOfOutage ? std::max(factor, kLeastFactor)
                                           : factor;
 }
@@ -89,7 +108,9 @@
   Spread(route);
   route.changed_at = clock_.Now();
   route.ended = 0;
+  route.served_by_full = 0;
   route.refused = 0;
+  route.without_room = 0;
   route.arrived.fill(0);
 }
 
--- a/lib/relay/call.h
+++ b/lib/relay/call.h
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "call.pb.h"
+#include "yuccastair/admission/call_throttle.h"
 #include "yuccastair/stream/body_source.h"
 #include "yuccastair/support/clock.h"
 
@@ -101,8 +102,8 @@
   bool reached_target = false;
   /// The target failed because a call that it made had failed.
   bool call_failed = false;
-  /// The same, and the call had been refused or had come too late.
-  bool call_refused = false;
+  /// The worst that any call of the target has met.
+  admission::CallsEnd calls_end = admission::CallsEnd::kServed;
   /// Requests of this kind are refused because of the calls that they make, so
   /// other targets of the service would refuse as well.
   bool overloaded_below = false;
--- a/lib/relay/entry.cc
+++ b/lib/relay/entry.cc
@@ -345,7 +345,12 @@
 Task<void> Entry::Answer(stream::ServerExchange& exchange,
                          Request& request,
                          CallResult result) {
-  request.call_refused = result.call_refused;
+  request.calls_end = result.calls_end;
+  if (result.load && result.load->queued() > 0)
+    request.calls_end =
+        std::max(request.calls_end, admission::CallsEnd::kServedByFull);
+  request.without_room = result.outcome == wire::OUTCOME_NOT_RUN &&
+                         request.reached == 0 && !result.peer_silent;
   if (request.call.cancellation.requested()) {
     if (result.on_end)
       result.on_end(false);
@@ -396,6 +401,19 @@
   co_await exchange.RespondText(std::move(head), refusal.reason + "\n");
 }
 
+void Entry::NoteCallEnd(const Request& request, unsigned status) {
+  using admission::CallsEnd;
+  RunningRequest& parent = *request.parent;
+  const bool served = status >= 200 && status < 300;
+  CallsEnd end = request.calls_end;
+  if (served)
+    end = std::min(end, CallsEnd::kServedByFull);
+  else if (status == 429 || status == 503 || status == 504)
+    end = request.without_room ? CallsEnd::kNoRoom : CallsEnd::kRefused;
+  parent.calls_end = std::max(parent.calls_end, end);
+  parent.call_failed |= !served;
+}
+
 void Entry::Record(const Request& request,
                    unsigned status,
                    const std::string& reason) {
@@ -405,11 +423,8 @@
   parts_.metrics.Observe("yuccastair_request_seconds",
                          {{"route", request.call.route}},
                          parts_.clock.Now() - request.began);
-  if (request.parent && (status < 200 || status >= 300)) {
-    request.parent->call_failed = true;
-    if (status == 429 || status == 503 || status == 504 || request.call_refused)
-      request.parent->call_refused = true;
-  }
+  if (request.parent)
+    NoteCallEnd(request, status);
   if (reason.empty())
     return;
   const auto left_out = lines_.Take();
--- a/lib/relay/entry.h
+++ b/lib/relay/entry.h
@@ -73,8 +73,10 @@
     // Whether a target may have run the request, so that no refusal may say
     // that it has not.
     bool may_have_run = false;
-    // Whether its target failed because of a call that was refused or late.
-    bool call_refused = false;
+    // What became of the calls of its target, and whether that was full.
+    admission::CallsEnd calls_end = admission::CallsEnd::kServed;
+    // Whether it was refused without reaching a target, since none has room.
+    bool without_room = false;
   };
   struct Refusal {
     unsigned status = 0;
@@ -102,6 +104,8 @@
                             const Refusal& refusal);
   std::chrono::milliseconds SpreadRetry(const Request& request) const;
   Refusal RefusalFor(const Request& request, const CallResult& result) const;
+  /// Tells the request whose call \p request is how it ended.
+  static void NoteCallEnd(const Request& request, unsigned status);
   void Record(const Request& request,
               unsigned status,
               const std::string& reason);
--- a/lib/relay/peer_protocol.cc
+++ b/lib/relay/peer_protocol.cc
@@ -140,8 +140,8 @@
   std::string text = Join<kResultNumbers>(
       {result.outcome, head.result_int(), result.reached_target,
        result.retry_after.count(), load.running(), load.queued(), load.limit(),
-       load.state(), result.call_failed, result.call_refused,
-       result.overloaded_below});
+       load.state(), result.call_failed,
+       static_cast<std::int64_t>(result.calls_end), result.overloaded_below});
   if (!result.reason.empty())
     text += kSeparator + result.reason;
   head.set(kHeader, text);
@@ -156,15 +156,16 @@
   if (!numbers)
     return false;
   const auto [outcome, status, reached, retry_after, running, queued, limit,
-              state, call_failed, call_refused, overloaded_below] = *numbers;
+              state, call_failed, calls_end, overloaded_below] = *numbers;
   if (!wire::Outcome_IsValid(static_cast<int>(outcome)) ||
-      !wire::TargetState_IsValid(static_cast<int>(state)) ||
+      !wire::TargetState_IsValid(static_cast<int>(state)) || calls_end < 0 ||
+      calls_end > static_cast<std::int64_t>(admission::CallsEnd::kNoRoom) ||
       status != head.result_int())
     return false;
   result.outcome = static_cast<wire::Outcome>(outcome);
   result.reached_target = reached != 0;
   result.call_failed = call_failed != 0;
-  result.call_refused = call_refused != 0;
+  result.calls_end = static_cast<admission::CallsEnd>(calls_end);
   result.overloaded_below = overloaded_below != 0;
   result.retry_after = milliseconds(retry_after);
   result.reason = text.substr(std::min(end + 1, text.size()));
--- a/lib/relay/running_requests.h
+++ b/lib/relay/running_requests.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 
 #include "call.pb.h"
+#include "yuccastair/admission/call_throttle.h"
 #include "yuccastair/support/clock.h"
 
 namespace yuccastair::relay {
@@ -28,8 +29,8 @@
   bool repeated = false;
   /// A call that the target made for it has failed.
   bool call_failed = false;
-  /// The same, and the call had been refused or had come too late.
-  bool call_refused = false;
+  /// The worst that any of its calls has met.
+  admission::CallsEnd calls_end = admission::CallsEnd::kServed;
 };
 
 /// Finds the request for which the own target makes a call. Targets do not name
--- a/lib/relay/target_proxy.cc
+++ b/lib/relay/target_proxy.cc
@@ -288,9 +288,9 @@
     result = co_await Exchange(call, end);
     requests_.Remove(running);
     result.call_failed = running->call_failed;
-    result.call_refused = running->call_refused;
+    result.calls_end = running->calls_end;
     if (call.depth <= 1 && !call.cancellation.requested()) {
-      throttle_.OnEnd(call.route, running->call_refused);
+      throttle_.OnEnd(call.route, running->calls_end);
       NoteShare(call.route);
     }
   }
--- a/rig/chain_simulation.h
+++ b/rig/chain_simulation.h
@@ -140,7 +140,7 @@
     std::size_t calls_made = 0;
     bool running = false;
     bool ended = false;
-    bool call_refused = false;
+    CallsEnd calls_end = CallsEnd::kServed;
   };
   using Held = std::shared_ptr<Work>;
 
@@ -273,7 +273,7 @@
         MakeNextCall(work);
         return;
       }
-      work->call_refused = true;
+      work->calls_end = CallsEnd::kNoRoom;
       Finish(work, End::kFailed);
     });
   }
@@ -283,7 +283,12 @@
       return;
     if (work->running) {
       if (work->call.depth <= 1)
-        work->target->throttle.OnEnd(work->call.route, work->call_refused);
+        work->target->throttle.OnEnd(work->call.route, work->calls_end);
+      if (work->target->admission.queued() > 0)
+        work->calls_end = std::max(work->calls_end, CallsEnd::kServedByFull);
+      if (work->parent)
+        work->parent->calls_end =
+            std::max(work->parent->calls_end, work->calls_end);
       Admission::Decisions decisions;
       work->target->admission.Finish(work->call.id, ExchangeEnd::kComplete,
                                      decisions);
--- a/unittests/admission/call_throttle_test.cc
+++ b/unittests/admission/call_throttle_test.cc
@@ -33,6 +33,7 @@
                           double calls_per_second,
                           int seconds,
                           bool throttled,
+                          CallsEnd refusal,
                           double refused_at_random = 0) {
   constexpr auto kStep = 50ms;
   constexpr int kStepsOfWork = 6;
@@ -50,7 +51,8 @@
     clock.Advance(kStep);
     auto& due = later[static_cast<std::size_t>(step % kStepsOfWork)];
     for (const Ended& ended : due)
-      throttle.OnEnd(kinds[ended.kind].route, ended.refused);
+      throttle.OnEnd(kinds[ended.kind].route,
+                     ended.refused ? refusal : CallsEnd::kServed);
     due.clear();
     double room = calls_per_second * 0.05;
     std::vector<std::size_t> order(kinds.size());
@@ -93,9 +95,10 @@
 TEST_CASE("requests are held back where their calls are turned away") {
   // 2 times more calls than there is room for.
   const std::vector<Kind> kinds{{"r", wire::IMPORTANCE_NORMAL, 160, 10}};
-  const auto naive = Play(kinds, 800, 20, false);
-  const auto held = Play(kinds, 800, 20, true);
-  CAPTURE(naive[0].served, held[0].served, held[0].wasted);
+  const CallsEnd refusal = GENERATE(CallsEnd::kRefused, CallsEnd::kNoRoom);
+  const auto naive = Play(kinds, 800, 20, false, refusal);
+  const auto held = Play(kinds, 800, 20, true, refusal);
+  CAPTURE(refusal, naive[0].served, held[0].served, held[0].wasted);
   // 80 requests a second could be served whole.
   CHECK(held[0].served > 0.5 * 80 * 20);
   CHECK(held[0].served > 4 * naive[0].served);
@@ -106,8 +109,9 @@
 TEST_CASE("the most important requests of a route are held back last") {
   const std::vector<Kind> kinds{{"r", wire::IMPORTANCE_CRITICAL, 40, 5},
                                 {"r", wire::IMPORTANCE_LOW, 160, 5}};
-  const auto held = Play(kinds, 500, 20, true);
-  CAPTURE(held[0].served, held[1].served);
+  const CallsEnd refusal = GENERATE(CallsEnd::kRefused, CallsEnd::kNoRoom);
+  const auto held = Play(kinds, 500, 20, true, refusal);
+  CAPTURE(refusal, held[0].served, held[1].served);
   CHECK(held[0].served > 0.9 * held[0].asked);
   CHECK(held[1].served > 0.25 * 60 * 20);
 }
@@ -115,17 +119,18 @@
 // Guards against a route that is starved by its own failures.
 TEST_CASE("failures that are independent of load throttle little") {
   const std::vector<Kind> kinds{{"r", wire::IMPORTANCE_NORMAL, 100, 1}};
-  const auto held = Play(kinds, 1e6, 20, true, 0.2);
+  const auto held = Play(kinds, 1e6, 20, true, CallsEnd::kRefused, 0.2);
   CHECK(held[0].served > 0.95 * 0.8 * held[0].asked);
 }
 
 // Guards against overload that outlasts its cause.
 TEST_CASE("the share is whole again within two seconds of calls being served") {
+  const CallsEnd refusal = GENERATE(CallsEnd::kRefused, CallsEnd::kNoRoom);
   support::ManualClock clock;
   CallThrottle throttle(clock);
   for (int i = 0; i < 400; ++i) {
     clock.Advance(10ms);
-    throttle.OnEnd("r", true);
+    throttle.OnEnd("r", refusal);
   }
   // Less than a fifth, which the share was once bound to: one admitted request
   // of 100 is enough to see the end of it.
@@ -135,7 +140,7 @@
     clock.Advance(10ms);
     if (throttle.Admit("r", wire::IMPORTANCE_NORMAL)) {
       ++admitted;
-      throttle.OnEnd("r", false);
+      throttle.OnEnd("r", CallsEnd::kServed);
     }
   }
   CHECK(throttle.ShareOf("r") == Approx(1));
--- a/unittests/relay/entry_test.cc
+++ b/unittests/relay/entry_test.cc
@@ -19,13 +19,18 @@
 class EntryFixture {
  protected:
   explicit EntryFixture(
-      const CallResult& other_refusal,
+      const CallResult& other_answer,
       ScriptedTarget::After after = ScriptedTarget::After::kKeep)
+      : EntryFixture(other_answer, after, after) {}
+
+  EntryFixture(const CallResult& other_answer,
+               ScriptedTarget::After after,
+               ScriptedTarget::After other_after)
       : own_(context_,
              "HTTP/1.1 500 Failed\r\nx-yuccastair-request-id: {id}\r\n"
              "x-yuccastair-seal: s\r\nContent-Length: 0\r\n\r\n",
              after),
-        other_(context_, RelayAnswer(other_refusal), after) {
+        other_(context_, RelayAnswer(other_answer), other_after) {
     wire::Policy policy;
     policy.set_version(1);
     wire::PolicyRoute& route = *policy.add_routes();
@@ -33,12 +38,20 @@
     route.set_host("h.example");
     route.set_path_prefix("/a/");
     route.set_idempotent(true);
+    route.set_open(true);
     route.set_timeout_ms(3000);
     route.set_objective_ms(1000);
     route.set_attempts(2);
     route.add_shares()->set_service("s");
     route.mutable_shares(0)->set_weight(1);
+    wire::PolicyRoute& deep = *policy.add_routes();
+    deep = route;
+    deep.set_name("deep");
+    deep.set_path_prefix("/deep/");
+    deep.mutable_shares(0)->set_service("deep");
+    policy.add_organisations()->set_name("acme");
     policy.add_services()->set_name("s");
+    policy.add_services()->set_name("deep");
     wire::SyncReply reply;
     reply.set_policy(policy.SerializeAsString());
     wire::ServiceMembers& members = *reply.add_services();
@@ -47,6 +60,11 @@
     members.set_full(true);
     AddMember(members, "own", "127.0.0.1:1");
     AddMember(members, "other", other_.address().ToString());
+    wire::ServiceMembers& deep_members = *reply.add_services();
+    deep_members.set_service("deep");
+    deep_members.set_revision(1);
+    deep_members.set_full(true);
+    AddMember(deep_members, "deep1", other_.address().ToString());
     fleet_.Apply(reply);
     Announcement announcement;
     announcement.target_id = "t1";
@@ -65,12 +83,12 @@
     member.set_incarnation("1");
     member.set_availability_zone("a");
     member.set_address(address);
-    member.set_service("s");
+    member.set_service(members.service());
     member.set_state(wire::TARGET_STATE_UP);
     member.set_limit(10);
   }
 
-  unsigned Ask() {
+  unsigned Ask(const std::string& path = "/a/x", const std::string& id = "") {
     unsigned status = 0;
     bool done = false;
     stream::asio::co_spawn(
@@ -80,8 +98,10 @@
           auto acquired = co_await pool_.Acquire(address, clock_.Now() + 10s);
           http::header<true> head;
           head.method(http::verb::get);
-          head.target("/a/x");
+          head.target(path);
           head.set("Host", "h.example");
+          if (!id.empty())
+            head.set(names_.request_id, id);
           stream::BodySource body;
           body.length = 0;
           co_await acquired.connection->Write(std::move(head), body);
@@ -218,5 +238,87 @@
   CHECK(server_.active() == 0);
 }
 
+/// A relay whose target runs request "p1" and calls the service "deep" for it.
+class CallOfRunningRequest : public EntryFixture {
+ public:
+  explicit CallOfRunningRequest(const CallResult& answer)
+      : EntryFixture(answer,
+                     ScriptedTarget::After::kHold,
+                     ScriptedTarget::After::kKeep) {
+    call_.request_id = "p1";
+    call_.head.method(http::verb::get);
+    call_.head.target("/a/x");
+    call_.body.length = 0;
+    call_.service = "s";
+    call_.route = "r";
+    call_.deadline = clock_.Now() + 10s;
+    call_.queue_until = call_.deadline;
+    stream::asio::co_spawn(
+        context_,
+        [this]() -> stream::Task<void> { co_await target_.Run(call_); },
+        stream::asio::detached);
+    context_.restart();
+    context_.run_for(50ms);
+  }
+
+  ~CallOfRunningRequest() { context_.stop(); }
+
+  RunningRequests::Held AfterCall() {
+    Ask("/deep/x", "p1.1");
+    return target_.running_requests().FindParent("p1.1", call_.deadline);
+  }
+
+ private:
+  RelayCall call_;
+};
+
+// Guards against a full service that is taken for one that fails at random, and
+// the other way round: a route is then held back too little or too much.
+TEST_CASE("a running request learns what its call has met") {
+  using admission::CallsEnd;
+  CallResult served;
+  served.outcome = wire::OUTCOME_OK;
+  served.head.result(200);
+  served.reached_target = true;
+  served.load.emplace();
+  CallResult served_by_full = served;
+  served_by_full.load->set_queued(1);
+  // A call of the call was refused, and its target did without.
+  CallResult served_without = served;
+  served_without.calls_end = CallsEnd::kNoRoom;
+  CallResult failed = served;
+  failed.head.result(500);
+  CallResult failed_below = failed;
+  failed_below.call_failed = true;
+  failed_below.calls_end = CallsEnd::kNoRoom;
+  CallResult refused_by_target = CallResult::NotRun("status 503");
+  refused_by_target.reached_target = true;
+  const CallResult refused = CallResult::NotRun("the queue is full");
+  struct Row {
+    const char* name;
+    const CallResult& answer;
+    CallsEnd end;
+    bool failed;
+  };
+  const std::vector<Row> rows{
+      {"served", served, CallsEnd::kServed, false},
+      {"served by a full target", served_by_full, CallsEnd::kServedByFull,
+       false},
+      {"served without one of its calls", served_without,
+       CallsEnd::kServedByFull, false},
+      {"failed by the target", failed, CallsEnd::kServed, true},
+      {"failed for want of room below", failed_below, CallsEnd::kNoRoom, true},
+      {"refused by the target", refused_by_target, CallsEnd::kRefused, true},
+      {"refused for want of room", refused, CallsEnd::kNoRoom, true}};
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    CallOfRunningRequest relay(row.answer);
+    const RunningRequests::Held parent = relay.AfterCall();
+    REQUIRE(parent);
+    CHECK(parent->calls_end == row.end);
+    CHECK(parent->call_failed == row.failed);
+  }
+}
+
 }  // namespace
 }  // namespace yuccastair::relay
