Add the addresses of an old view to the known control processes

Cause: the age of the view was checked only after the list had been taken.

Change: an old view adds addresses, and only a current one replaces the list. Weighed: leaving the list of an old view out, by which a relay that was away while all of its addresses changed would lose the one newer hint that it gets.

Test: relay_control_link_loss_test (an old view does not replace the known control processes) failed before: the third process was not asked within 30 s.

--- a/lib/relay/control_link.cc
+++ b/lib/relay/control_link.cc
@@ -184,18 +184,32 @@
   options_.apply(*reply_);
   if (!reply_->leader_address().empty())
     leader_ = reply_->leader_address();
-  std::vector<std::string> reported(reply_->control_addresses().begin(),
-                                    reply_->control_addresses().end());
-  if (!reported.empty() && reported != reported_) {
-    reported_ = std::move(reported);
-    ChooseOrder();
-  }
-  if (age > kMaxViewAge)
+  const bool current = age <= kMaxViewAge;
+  TakeAddresses(
+      {reply_->control_addresses().begin(), reply_->control_addresses().end()},
+      current);
+  if (!current)
     co_return SyncEnd::kOldView;
   NoteCurrent(sent_at - age);
   co_return SyncEnd::kCurrent;
 }
 
+/// Takes the reported control processes. An old view may lack some of them, so
+/// it only adds to those that are known.
+void ControlLink::TakeAddresses(std::vector<std::string> reported,
+                                bool current) {
+  if (!current) {
+    for (const std::string& known : reported_) {
+      if (std::find(reported.begin(), reported.end(), known) == reported.end())
+        reported.push_back(known);
+    }
+  }
+  if (reported.empty() || reported == reported_)
+    return;
+  reported_ = std::move(reported);
+  ChooseOrder();
+}
+
 void ControlLink::NoteCurrent(support::TimePoint as_of) {
   if (!std::exchange(in_touch_, true)) {
     nlohmann::json fields = {{"control", order_[current_]}};
--- a/lib/relay/control_link.h
+++ b/lib/relay/control_link.h
@@ -65,6 +65,7 @@
   void OnUndelivered(const wire::Envelope& envelope);
   stream::Task<void> Run();
   stream::Task<SyncEnd> SyncOnce();
+  void TakeAddresses(std::vector<std::string> reported, bool current);
   void NoteCurrent(support::TimePoint as_of);
   bool Move(SyncEnd end);
   void ChooseOrder();
--- a/unittests/relay/control_link_loss_test.cc
+++ b/unittests/relay/control_link_loss_test.cc
@@ -11,6 +11,7 @@
 
 constexpr const char* kSeed = "127.0.0.1:26021";
 constexpr const char* kOther = "127.0.0.1:26022";
+constexpr const char* kIsolated = "127.0.0.1:26023";
 
 // Guards against a relay that forgets the control processes it was told of and
 // asks only seeds that are gone.
@@ -28,5 +29,22 @@
   CHECK(RunUntil([&] { return other.asked() > 0; }));
 }
 
+// Guards against a relay that takes the list of a control process which is cut
+// off from the others for that of the fleet.
+TEST_CASE_METHOD(LinkFixture,
+                 "an old view does not replace the known control processes") {
+  constexpr std::uint32_t kOldAgeMs = 60000;
+  auto seed = std::make_unique<ControlStandIn>(
+      kSeed, 0, std::vector<std::string>{kSeed, kOther});
+  Start({kSeed, kIsolated});
+  REQUIRE(RunUntil([&] { return IsFresh(); }));
+  const ControlStandIn isolated(kIsolated, kOldAgeMs,
+                                std::vector<std::string>{kIsolated});
+  seed.reset();
+  REQUIRE(RunUntil([&] { return isolated.asked() > 1; }));
+  const ControlStandIn other(kOther, 0);
+  CHECK(RunUntil([&] { return other.asked() > 0; }));
+}
+
 }  // namespace
 }  // namespace yuccastair::relay
