Share the event queue of two models and the seeds and targets of two tests

Found by reading the change: both models of the admission kept their own queue of events, the soak and the test of a whole restart read the seeds and set up their targets alike, and two tests set up the same chain below capacity. No check, bound or seed is changed; admission_overload_test, admission_chain_overload_test and admission_chain_waste_test pass.

--- a/rig/admission_simulation.h
+++ b/rig/admission_simulation.h
@@ -10,14 +10,13 @@
 #include <deque>
 #include <functional>
 #include <map>
-#include <queue>
 #include <random>
 #include <set>
 #include <string>
-#include <tuple>
 #include <utility>
 #include <vector>
 
+#include "event_queue.h"
 #include "yuccastair/admission/admission.h"
 
 namespace yuccastair::admission {
@@ -88,16 +87,7 @@
            static_cast<double>(target_.service_time.count());
   }
 
-  void RunFor(Microseconds time) {
-    const auto end = clock_.Now() + time;
-    while (!events_.empty() && events_.top().at <= end) {
-      const Event event = events_.top();
-      events_.pop();
-      clock_.Advance(event.at - clock_.Now());
-      event.action();
-    }
-    clock_.Advance(end - clock_.Now());
-  }
+  void RunFor(Microseconds time) { events_.RunFor(time); }
 
   /// The target's process ends: what runs there breaks.
   void Crash() {
@@ -122,14 +112,6 @@
   }
 
  private:
-  struct Event {
-    support::TimePoint at;
-    std::uint64_t sequence = 0;
-    std::function<void()> action;
-    bool operator<(const Event& other) const {
-      return std::tie(at, sequence) > std::tie(other.at, other.sequence);
-    }
-  };
   struct Pending {
     std::size_t stream = 0;
     std::uint64_t generation = 0;
@@ -139,7 +121,7 @@
   static constexpr std::chrono::milliseconds kDeadline{500};
 
   void Schedule(Microseconds in, std::function<void()> action) {
-    events_.push({clock_.Now() + in, sequence_++, std::move(action)});
+    events_.Schedule(in, std::move(action));
   }
 
   void Tick() {
@@ -230,7 +212,8 @@
       ++tally.good;
   }
 
-  support::ManualClock clock_;
+  EventQueue events_;
+  support::ManualClock& clock_ = events_.clock();
   Admission admission_;
   std::mt19937_64 random_;
   Target target_;
@@ -238,10 +221,8 @@
   std::vector<Tally> tallies_;
   std::uint64_t generation_ = 0;
   std::uint64_t next_id_ = 1;
-  std::uint64_t sequence_ = 0;
   std::uint32_t busy_ = 0;
   std::uint32_t peak_ = 0;
-  std::priority_queue<Event> events_;
   std::map<std::uint64_t, Pending> pending_;
   // Calls at the target.
   std::set<std::uint64_t> served_;
--- a/rig/chain_simulation.h
+++ b/rig/chain_simulation.h
@@ -11,14 +11,13 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <queue>
 #include <random>
 #include <string>
-#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
+#include "event_queue.h"
 #include "yuccastair/admission/admission.h"
 #include "yuccastair/admission/call_throttle.h"
 
@@ -81,30 +80,12 @@
       services_[service][i]->up = i < up;
   }
 
-  void RunFor(Microseconds time) {
-    const auto end = clock_.Now() + time;
-    while (!events_.empty() && events_.top().at <= end) {
-      const Event event = events_.top();
-      events_.pop();
-      clock_.Advance(event.at - clock_.Now());
-      event.action();
-    }
-    clock_.Advance(end - clock_.Now());
-  }
+  void RunFor(Microseconds time) { events_.RunFor(time); }
 
   void ResetTallies() { tallies_.assign(classes_.size(), {}); }
   const ChainTally& tally(std::size_t index) const { return tallies_[index]; }
 
  private:
-  struct Event {
-    support::TimePoint at;
-    std::uint64_t sequence = 0;
-    std::function<void()> action;
-    bool operator<(const Event& other) const {
-      return std::tie(at, sequence) > std::tie(other.at, other.sequence);
-    }
-  };
-
   struct Target {
     Target(const support::Clock& clock, std::uint32_t slots)
         : admission(clock, OptionsFor(slots)), throttle(clock) {
@@ -150,7 +131,7 @@
   static constexpr int kQueueShare = 4;
 
   void Schedule(Microseconds in, std::function<void()> action) {
-    events_.push({clock_.Now() + in, sequence_++, std::move(action)});
+    events_.Schedule(in, std::move(action));
   }
 
   void Tick() {
@@ -297,13 +278,12 @@
     work->on_end(end);
   }
 
-  support::ManualClock clock_;
+  EventQueue events_;
+  support::ManualClock& clock_ = events_.clock();
   std::vector<ChainClass> classes_;
   std::vector<ChainTally> tallies_;
   std::mt19937_64 random_;
   std::vector<std::vector<std::unique_ptr<Target>>> services_;
-  std::priority_queue<Event> events_;
-  std::uint64_t sequence_ = 0;
   std::uint64_t next_id_ = 1;
   std::unordered_map<std::uint64_t, Held> waiting_;
 };
--- a/unittests/admission/chain_overload_test.cc
+++ b/unittests/admission/chain_overload_test.cc
@@ -42,11 +42,7 @@
   const std::size_t targets = GENERATE(std::size_t{2}, std::size_t{1});
   const auto seed = GENERATE(std::uint64_t{1}, std::uint64_t{2});
   ChainSimulation simulation = MakeSimulation(seed);
-  simulation.RunFor(5s);
-  simulation.SetTargetsUp(kDeep, targets);
-  simulation.RunFor(3s);
-  simulation.ResetTallies();
-  simulation.RunFor(20s);
+  RunBelowCapacity(simulation, targets, 20s);
   const double goodput = DeepGoodput(simulation, targets, 20s);
   CAPTURE(targets, seed, goodput);
   CHECK(goodput > 0.9);
@@ -56,11 +52,7 @@
 // calls.
 TEST_CASE("hardly any request is started while the deep service is away") {
   ChainSimulation simulation = MakeSimulation(1);
-  simulation.RunFor(5s);
-  simulation.SetTargetsUp(kDeep, 0);
-  simulation.RunFor(3s);
-  simulation.ResetTallies();
-  simulation.RunFor(20s);
+  RunBelowCapacity(simulation, 0, 20s);
   const ChainTally& report = simulation.tally(kReport);
   const ChainTally& order = simulation.tally(kOrder);
   CAPTURE(report.sent, report.refused, report.failed, order.sent, order.refused,
--- a/unittests/admission/chain_scenario.h
+++ b/unittests/admission/chain_scenario.h
@@ -45,6 +45,20 @@
       {{front_targets, 150}, {3, 248}, {kDeepTargets, kDeepSlots}}, seed);
 }
 
+/// Leaves \p targets of the deep service in use and plays \p time of it, after
+/// the change has been settled.
+inline void RunBelowCapacity(ChainSimulation& simulation,
+                             std::size_t targets,
+                             std::chrono::seconds time) {
+  constexpr std::chrono::seconds kBefore{5};
+  constexpr std::chrono::seconds kSettling{3};
+  simulation.RunFor(kBefore);
+  simulation.SetTargetsUp(kDeep, targets);
+  simulation.RunFor(kSettling);
+  simulation.ResetTallies();
+  simulation.RunFor(time);
+}
+
 inline double Share(std::uint64_t part, std::uint64_t whole) {
   return static_cast<double>(part) / static_cast<double>(whole);
 }
--- a/unittests/admission/chain_waste_test.cc
+++ b/unittests/admission/chain_waste_test.cc
@@ -21,11 +21,7 @@
   const std::size_t targets = GENERATE(std::size_t{2}, std::size_t{1});
   const auto seed = GENERATE(std::uint64_t{1}, std::uint64_t{2});
   ChainSimulation simulation = MakeSimulation(seed);
-  simulation.RunFor(5s);
-  simulation.SetTargetsUp(kDeep, targets);
-  simulation.RunFor(3s);
-  simulation.ResetTallies();
-  simulation.RunFor(20s);
+  RunBelowCapacity(simulation, targets, 20s);
   const ChainTally& report = simulation.tally(kReport);
   const ChainTally& order = simulation.tally(kOrder);
   CAPTURE(targets, seed, report.sent, report.served, report.refused,
--- a/unittests/platform/soak_test.cc
+++ b/unittests/platform/soak_test.cc
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <cstdlib>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -15,6 +14,7 @@
 #include <vector>
 
 #include "relay/scripted_target.h"
+#include "seeds.h"
 #include "soak_layout.h"
 #include "system_client.h"
 #include "system_process.h"
@@ -64,11 +64,7 @@
       controls_.push_back(
           std::make_unique<Process>("control", layout_.ControlSettings(i)));
     for (int i = 0; i < kRelays; ++i) {
-      targets_.push_back(std::make_unique<relay::ScriptedTarget>(
-          context(),
-          "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Seal: s\r\n"
-          "Content-Length: 4\r\n\r\nbody",
-          relay::ScriptedTarget::After::kKeep, "X-Attempt-Id: "));
+      targets_.push_back(ServingTarget());
       relays_.push_back(std::make_unique<Process>(
           "relay", layout_.RelaySettings(i, targets_.back()->address())));
     }
@@ -359,20 +355,11 @@
   std::shared_ptr<bool> finished_ = std::make_shared<bool>(false);
 };
 
-std::uint64_t FromEnvironment(const char* name, std::uint64_t fallback) {
-  const char* text = std::getenv(name);
-  return text != nullptr ? std::strtoull(text, nullptr, 10) : fallback;
-}
-
 // Guards against faults that only a series of them brings about: requests that
 // are cut off or run twice, changes that are lost or not in force.
 TEST_CASE("no seed of overlapping restarts and changes breaks a promise") {
   constexpr std::uint64_t kDefaultSeeds = 2;
-  const std::uint64_t only = FromEnvironment("YUCCASTAIR_SEED", 0);
-  const std::uint64_t first = only != 0 ? only : 1;
-  const std::uint64_t seeds =
-      only != 0 ? 1 : FromEnvironment("YUCCASTAIR_SEEDS", kDefaultSeeds);
-  for (std::uint64_t seed = first; seed < first + seeds; ++seed) {
+  for (const std::uint64_t seed : SeedsToRun(kDefaultSeeds)) {
     INFO("again: YUCCASTAIR_SEED=" << seed << " platform_soak_test");
     Soak soak(seed);
     REQUIRE_NOTHROW(soak.Run());
--- a/unittests/platform/system_client.h
+++ b/unittests/platform/system_client.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <utility>
 
+#include "relay/scripted_target.h"
 #include "yuccastair/stream/client.h"
 #include "yuccastair/support/address.h"
 #include "yuccastair/support/clock.h"
@@ -39,6 +40,15 @@
     co_await timer.async_wait(stream::kAsTuple);
   }
 
+  /// Returns a target that serves each request.
+  std::unique_ptr<relay::ScriptedTarget> ServingTarget() {
+    return std::make_unique<relay::ScriptedTarget>(
+        context_,
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Server-Seal: s\r\n"
+        "Content-Length: 4\r\n\r\nbody",
+        relay::ScriptedTarget::After::kKeep, "X-Attempt-Id: ");
+  }
+
   /// Sends one request; what is known of its answer goes to \p answer. An empty
   /// \p key is not sent.
   stream::Task<void> Exchange(stream::ConnectionPool& pool,
