--- a/include/yuccastair/admission/call_throttle.h
+++ b/include/yuccastair/admission/call_throttle.h
@@ -36,14 +36,12 @@
  public:
   /// Admitted requests for each one whose calls are served, where calls are
   /// refused for reasons that may have nothing to do with load: these throttle
-  /// nothing while more than 1 / kHeadroom of the requests succeed. With 1.3, a
-  /// route of which 20% failed at random was served 77% of the rest.
+  /// nothing while more than 1 / kHeadroom of the requests succeed.
   static constexpr double kHeadroom = 1.5;
   /// The same where most of the refused calls found no room. What exceeds 1
-  /// keeps the deep service full and lets the share grow again, and is wasted:
-  /// the more so the smaller the share is, since the requests that could be
-  /// served instead of the wasted ones are then rare. A route of which nearly
-  /// all requests are served has kHeadroomOfShare more.
+  /// keeps the deep service full and lets the share grow again, but is started
+  /// in vain. It is least where few requests can be served, and
+  /// kHeadroomOfShare more at a share of 1.
   static constexpr double kHeadroomWithoutRoom = 1.15;
   static constexpr double kHeadroomOfShare = 0.3;
   /// Requests of a route that are admitted each second at least, so that no
--- a/rig/chain_simulation.h
+++ b/rig/chain_simulation.h
@@ -162,7 +162,9 @@
     });
   }
 
-  void Begin(std::size_t index, Held parent, std::function<void(End)> on_end) {
+  void Begin(std::size_t index,
+             const Held& parent,
+             std::function<void(End)> on_end) {
     const ChainClass& kind = classes_[index];
     auto work = std::make_shared<Work>();
     work->index = index;
--- a/unittests/platform/soak_layout.h
+++ b/unittests/platform/soak_layout.h
@@ -17,10 +17,14 @@
  public:
   static constexpr int kControls = 3;
 
-  /// Seeds that run at the same time have ports of their own, and ones that no
-  /// other test uses.
-  explicit SoakLayout(std::uint64_t seed)
-      : first_port_(kFirstPort +
+  /// First ports of the two tests that use this layout. No other test uses
+  /// those from there on.
+  static constexpr int kSoakPorts = 16000;
+  static constexpr int kWholeRestartPorts = 11000;
+
+  /// Seeds that run at the same time have ports of their own.
+  SoakLayout(int first_port, std::uint64_t seed)
+      : first_port_(first_port +
                     static_cast<int>(seed % kPortRanges) * kPortsOfSeed) {}
 
   support::Address Policy(int i) const { return Port(10 + i); }
@@ -95,7 +99,6 @@
   using json = nlohmann::json;
 
   static constexpr int kPortsOfSeed = 60;
-  static constexpr int kFirstPort = 16000;
   static constexpr int kPortRanges = 60;
 
   support::Address Port(int offset) const {
--- a/unittests/platform/soak_test.cc
+++ b/unittests/platform/soak_test.cc
@@ -59,7 +59,8 @@
 
 class Soak : private SystemClient {
  public:
-  explicit Soak(std::uint64_t seed) : random_(seed), layout_(seed) {
+  explicit Soak(std::uint64_t seed)
+      : random_(seed), layout_(SoakLayout::kSoakPorts, seed) {
     for (int i = 0; i < SoakLayout::kControls; ++i)
       controls_.push_back(
           std::make_unique<Process>("control", layout_.ControlSettings(i)));
--- a/unittests/platform/whole_restart_test.cc
+++ b/unittests/platform/whole_restart_test.cc
@@ -38,13 +38,11 @@
 constexpr auto kLongestDelay = 1500ms;
 constexpr auto kWindow = 500ms;
 constexpr double kWholeShare = 0.95;
-// Ports of their own beside those of the soak.
-constexpr std::uint64_t kFirstLayout = 30;
 
 class WholeRestart : private SystemClient {
  public:
   explicit WholeRestart(std::uint64_t seed)
-      : random_(seed), layout_(kFirstLayout + seed) {
+      : random_(seed), layout_(SoakLayout::kWholeRestartPorts, seed) {
     for (int i = 0; i < SoakLayout::kControls; ++i)
       processes_.push_back(
           std::make_unique<Process>("control", layout_.ControlSettings(i)));
