--- a/include/yuccastair/admission/call_throttle.h
+++ b/include/yuccastair/admission/call_throttle.h
@@ -14,7 +14,9 @@
 
 namespace yuccastair::admission {
 
-/// What became of the calls that an admitted request has made.
+/// What became of the calls that an admitted request has made, from best to
+/// worst: of several calls the greatest value counts. Relays tell each other
+/// the numbers.
 enum class CallsEnd : std::uint8_t {
   kServed,
   /// All were served, and one by a target on which others still waited.
--- a/lib/relay/entry.h
+++ b/lib/relay/entry.h
@@ -73,7 +73,8 @@
     // Whether a target may have run the request, so that no refusal may say
     // that it has not.
     bool may_have_run = false;
-    // What became of the calls of its target, and whether that was full.
+    // The worst that the calls of its target have met; at least kServedByFull
+    // where others wait for that target.
     admission::CallsEnd calls_end = admission::CallsEnd::kServed;
     // Whether it was refused without reaching a target, since none has room.
     bool without_room = false;
