Add a summary line a second to relays and the timeline that is made of them

Operators saw RECOVER and SHORT and could not tell a service that was away from one that was overloaded or not found again: targets had lines only when their state changed, without service and zone, and served requests had none.

Tests: relay_request_counts_test, ctl_sessions_test (timeline.txt).

--- a/lib/ctl/command.h
+++ b/lib/ctl/command.h
@@ -138,6 +138,8 @@
 int RunZoneList(const Session& session);
 // explain.cc
 int RunExplain(const Session& session);
+// timeline.cc
+int RunTimeline(const Session& session);
 // reference.cc
 int RunReference(const Session& session);
 
@@ -149,6 +151,10 @@
 /// Parses a whole number from 0 on. Throws UsageError naming \p what.
 std::uint64_t ParseNumber(const std::string& text, const std::string& what);
 
+/// Prints rows with aligned columns.
+void PrintTable(std::ostream& out,
+                const std::vector<std::vector<std::string>>& rows);
+
 /// Prints changes of entries, one a line.
 void PrintChanges(std::ostream& out, const nlohmann::json& changes);
 
--- a/lib/ctl/explain.cc
+++ b/lib/ctl/explain.cc
@@ -3,9 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
-#include <ctime>
-#include <fstream>
-#include <optional>
 #include <ostream>
 #include <set>
 #include <string>
@@ -13,7 +10,7 @@
 #include <vector>
 
 #include "command.h"
-#include "yuccastair/support/error.h"
+#include "log_lines.h"
 
 namespace yuccastair::ctl {
 namespace {
@@ -37,7 +34,7 @@
 };
 
 // By the beginning of the reason in request.ended.
-constexpr std::array<Cause, 19> kCauses = {{
+constexpr std::array<Cause, 20> kCauses = {{
     {"no slot became free",
      "overload: the slots of the target were taken until the time to wait was "
      "over"},
@@ -53,6 +50,9 @@
      "the target itself refused the request"},
     {"the organisation is over its rate",
      "the organisation sent more than its rate over the whole fleet"},
+    {"the service has no target in service",
+     "each target of the service leaves, is down, or is in a zone that is out "
+     "of service; service.without_target names them"},
     {"no target can be reached",
      "no target of the service was known that takes requests"},
     {"the target is draining", "planned work: the target was leaving"},
@@ -75,52 +75,28 @@
      "the relay had started and no control process had told it the policy"},
 }};
 
-/// Returns the time of a line since the Unix epoch; nothing if it has none.
-std::optional<microseconds> TimeOf(const Json& line) {
-  const std::string text = line.value("time", "");
-  std::tm parts{};
-  const char* rest = strptime(text.c_str(), "%Y-%m-%dT%H:%M:%S", &parts);
-  if (rest == nullptr)
-    return std::nullopt;
-  const double fraction = *rest == '.' ? std::strtod(rest, nullptr) : 0;
-  return std::chrono::seconds(timegm(&parts)) +
-         microseconds(static_cast<std::int64_t>(fraction * 1e6));
-}
-
-/// Returns the log lines of a file, leaving out what is not a line of ours.
-std::vector<Json> ReadLines(const std::string& path) {
-  std::ifstream in(path);
-  if (!in)
-    throw support::Error("read log", path, "the file cannot be read");
-  std::vector<Json> lines;
-  for (std::string text; std::getline(in, text);) {
-    Json line = Json::parse(text, nullptr, false);
-    if (line.is_object() && line.contains("event") && TimeOf(line))
-      lines.push_back(std::move(line));
-  }
-  if (lines.empty())
-    throw support::Error("read log", path, "it holds no line of a process");
-  return lines;
-}
-
-std::vector<std::string> SplitPaths(const std::string& text) {
-  std::vector<std::string> paths;
-  std::size_t begin = 0;
-  while (begin <= text.size()) {
-    const std::size_t end = std::min(text.find(',', begin), text.size());
-    if (end > begin)
-      paths.push_back(text.substr(begin, end - begin));
-    begin = end + 1;
-  }
-  return paths;
-}
-
 bool Concerns(const Json& line, const std::string& id) {
   const std::string request = line.value("request", "");
   // The ids of the calls that a request makes extend its own.
   return request == id || request.rfind(id + ".", 0) == 0;
 }
 
+/// The latest line before \p until that says whether \p service has a target.
+const Json* LastOfService(const std::vector<Json>& lines,
+                          const std::string& service,
+                          microseconds until) {
+  const Json* last = nullptr;
+  for (const Json& line : lines) {
+    const std::string event = line.value("event", "");
+    if ((event != "service.without_target" && event != "service.has_target") ||
+        line.value("service", "") != service || *TimeOf(line) > until)
+      continue;
+    if (last == nullptr || *TimeOf(line) >= *TimeOf(*last))
+      last = &line;
+  }
+  return last;
+}
+
 bool IsContext(const Json& line,
                const std::set<std::string>& instances,
                microseconds from,
@@ -139,10 +115,12 @@
                          const std::string& id) {
   std::vector<Json> selected;
   std::set<std::string> instances;
+  std::set<std::string> services;
   for (const Json& line : lines) {
     if (!Concerns(line, id))
       continue;
     selected.push_back(line);
+    services.insert(line.value("service", ""));
     instances.insert(line.value("instance", ""));
     for (const Json& attempt : line.value("attempts", Json::array()))
       instances.insert(attempt.value("target", ""));
@@ -160,6 +138,11 @@
     if (IsContext(line, instances, from, to))
       selected.push_back(line);
   }
+  for (const std::string& service : services) {
+    const Json* last = LastOfService(lines, service, to);
+    if (last != nullptr && last->value("event", "") == "service.without_target")
+      selected.push_back(*last);
+  }
   std::stable_sort(selected.begin(), selected.end(), earlier);
   return selected;
 }
@@ -200,17 +183,10 @@
 
 int RunExplain(const Session& session) {
   const std::string& id = session.arguments.words[0];
-  const auto paths = SplitPaths(session.arguments.Get("log"));
-  if (paths.empty())
-    throw UsageError("--log is required");
-  std::vector<Json> lines;
+  const std::vector<Json> lines = ReadLogs(session.arguments.Get("log"));
   std::uint64_t left_out = 0;
-  for (const std::string& path : paths) {
-    for (Json& line : ReadLines(path)) {
-      left_out += line.value("lines_left_out", std::uint64_t{0});
-      lines.push_back(std::move(line));
-    }
-  }
+  for (const Json& line : lines)
+    left_out += line.value("lines_left_out", std::uint64_t{0});
   const std::vector<Json> selected = Select(lines, id);
   if (session.json()) {
     session.out() << Json(selected).dump() << '\n';
--- a/lib/ctl/read_commands.cc
+++ b/lib/ctl/read_commands.cc
@@ -30,26 +30,6 @@
   return {text, size};
 }
 
-/// Prints rows with aligned columns.
-void PrintTable(std::ostream& out,
-                const std::vector<std::vector<std::string>>& rows) {
-  std::vector<std::size_t> widths;
-  for (const auto& row : rows) {
-    widths.resize(std::max(widths.size(), row.size()));
-    for (std::size_t i = 0; i < row.size(); ++i)
-      widths[i] = std::max(widths[i], row[i].size());
-  }
-  for (const auto& row : rows) {
-    std::string line;
-    for (std::size_t i = 0; i < row.size(); ++i) {
-      line += row[i];
-      line.append(widths[i] + 2 - row[i].size(), ' ');
-    }
-    line.erase(line.find_last_not_of(' ') + 1);
-    out << line << '\n';
-  }
-}
-
 /// Prints the members of each entry of one kind as a table.
 int List(const Session& session,
          const std::string& prefix,
@@ -110,6 +90,25 @@
 
 }  // namespace
 
+void PrintTable(std::ostream& out,
+                const std::vector<std::vector<std::string>>& rows) {
+  std::vector<std::size_t> widths;
+  for (const auto& row : rows) {
+    widths.resize(std::max(widths.size(), row.size()));
+    for (std::size_t i = 0; i < row.size(); ++i)
+      widths[i] = std::max(widths[i], row[i].size());
+  }
+  for (const auto& row : rows) {
+    std::string line;
+    for (std::size_t i = 0; i < row.size(); ++i) {
+      line += row[i];
+      line.append(widths[i] + 2 - row[i].size(), ' ');
+    }
+    line.erase(line.find_last_not_of(' ') + 1);
+    out << line << '\n';
+  }
+}
+
 int RunGet(const Session& session) {
   const auto& words = session.arguments.words;
   if (session.arguments.Has("effective"))
--- a/lib/relay/relay.cc
+++ b/lib/relay/relay.cc
@@ -139,9 +139,7 @@
     self->set_incarnation(incarnation_);
     self->set_availability_zone(settings_.availability_zone);
     self->set_address(settings_.peer_listen.ToString());
-    const Announcement* announced = target_proxy_.record().announced();
-    self->set_service(announced != nullptr ? announced->service
-                                           : settings_.service);
+    self->set_service(ServiceOfTarget());
     const wire::LoadReport load = target_proxy_.Load();
     self->set_state(stopping_ ? wire::TARGET_STATE_LEAVING : load.state());
     self->set_limit(load.limit());
@@ -157,9 +155,7 @@
     const auto policy = fleet_.policy();
     if (!policy)
       return;
-    const Announcement* announced = target_proxy_.record().announced();
-    target_proxy_.SetService(policy->FindService(
-        announced != nullptr ? announced->service : settings_.service));
+    target_proxy_.SetService(policy->FindService(ServiceOfTarget()));
     const wire::PolicyLimits& limits = policy->policy().limits();
     stream::ServerLimits server;
     if (limits.max_header_bytes() > 0)
@@ -299,9 +295,30 @@
       co_await timer.async_wait(stream::kAsTuple);
       peers_.CloseIdle();
       target_proxy_.CloseIdle();
+      LogSummary();
     }
   }
 
+  /// Says what the target's state is and how requests have ended, so that the
+  /// lines of all relays give the course of a service second by second.
+  void LogSummary() {
+    const TargetRecord& record = target_proxy_.record();
+    support::LogInfo(
+        "relay.summary",
+        {{"service", ServiceOfTarget()},
+         {"availability_zone", settings_.availability_zone},
+         {"zone_out", fleet_.IsZoneOut(settings_.availability_zone)},
+         {"target_state",
+          wire::TargetState_Name(stopping_ ? wire::TARGET_STATE_LEAVING
+                                           : record.State())},
+         {"routes", entry_.counts().Take()}});
+  }
+
+  const std::string& ServiceOfTarget() const {
+    const Announcement* announced = target_proxy_.record().announced();
+    return announced != nullptr ? announced->service : settings_.service;
+  }
+
   Task<void> AwaitSignals() {
     while (true) {
       auto [error, signal] = co_await signals_.async_wait(stream::kAsTuple);
--- /dev/null
+++ b/lib/relay/request_counts.cc
@@ -0,0 +1,38 @@
+// Sorts ended requests by what their callers got.
+
+#include "request_counts.h"
+
+#include <utility>
+
+namespace yuccastair::relay {
+
+void RequestCounts::Count(const RelayCall& call,
+                          unsigned status,
+                          bool by_target) {
+  Counts& counts = counts_[{call.route, call.service, call.depth > 1}];
+  if (status == 0)
+    ++counts.left;
+  else if (by_target && status < 500)
+    ++counts.served;
+  else if (!by_target && (status < 500 || status == 503))
+    ++counts.refused;
+  else
+    ++counts.failed;
+}
+
+nlohmann::json RequestCounts::Take() {
+  nlohmann::json list = nlohmann::json::array();
+  for (const auto& [key, counts] : std::exchange(counts_, {})) {
+    const auto& [route, service, is_call] = key;
+    list.push_back({{"route", route},
+                    {"service", service},
+                    {"call", is_call},
+                    {"served", counts.served},
+                    {"refused", counts.refused},
+                    {"failed", counts.failed},
+                    {"left", counts.left}});
+  }
+  return list;
+}
+
+}  // namespace yuccastair::relay
--- a/unittests/ctl/sessions_test.cc
+++ b/unittests/ctl/sessions_test.cc
@@ -88,6 +88,7 @@
       {"apply.txt", 26120},
       {"usage.txt", 26130},
       {"explain.txt", 26140},
+      {"timeline.txt", 26150},
   }));
   CAPTURE(name);
   const RunningControl control(port);
