Tell operators and callers of a service that has lost its last target

Cause: a zone that is taken out while targets leave elsewhere can take the last target of a service away.

Control processes now compare the services of the policy with the targets that nodes are offered, every 100 ms, and record service.without_target with the zones that are out and each target that is left out with its zone and state, and service.has_target with the time it lasted. A caller of such a service is told that the service has no target in service.

--- a/include/yuccastair/membership/fleet_view.h
+++ b/include/yuccastair/membership/fleet_view.h
@@ -35,6 +35,9 @@
   /// Returns whether a followed service has not been reported yet.
   bool HasUnknownService() const;
 
+  /// Returns whether the whole membership of \p service has been reported.
+  bool IsKnown(const std::string& service) const;
+
   /// Returns how long ago a control process last answered; nothing if none
   /// ever did.
   std::optional<support::Duration> Age() const;
--- a/include/yuccastair/membership/registry.h
+++ b/include/yuccastair/membership/registry.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
+#include <vector>
 
 #include "sync.pb.h"
 #include "yuccastair/membership/home_log.h"
@@ -59,6 +60,22 @@
   /// process started.
   bool IsComplete() const;
 
+  /// A target that is known and not offered to nodes.
+  struct LeftOut {
+    std::string node_id;
+    std::string availability_zone;
+    wire::TargetState state = wire::TARGET_STATE_DOWN;
+    bool zone_out = false;
+  };
+
+  /// Returns whether nodes are offered a target of \p service.
+  bool HasTarget(const std::string& service) const {
+    return index_.HasMembers(service);
+  }
+  /// Returns the targets of \p service that nodes are not offered. Takes time
+  /// that grows with the number of nodes.
+  std::vector<LeftOut> TargetsLeftOut(const std::string& service) const;
+
   /// Returns the number of known nodes, with and without targets.
   std::size_t size() const { return nodes_.size(); }
 
@@ -89,6 +106,7 @@
 
   void Put(const Source& source, const wire::Member& member);
   void Drop(const Source& source, const std::string& node_id);
+  static const wire::Member& LatestOf(const Node& node);
   /// Brings the index in line with the reports about a node.
   void Update(Node& node);
   bool IsOffered(const wire::Member& member) const;
--- a/include/yuccastair/membership/service_index.h
+++ b/include/yuccastair/membership/service_index.h
@@ -31,6 +31,11 @@
   /// Removes a member; does nothing if there is none.
   void Remove(const std::string& service, const std::string& node_id);
 
+  bool HasMembers(const std::string& service) const {
+    const auto found = services_.find(service);
+    return found != services_.end() && !found->second.members.empty();
+  }
+
   /// Adds what changed since \p known_revision: nothing, the changes, or the
   /// whole list where the changes are not known any more. Before the index is
   /// \p complete, nothing is removed at the node.
--- a/include/yuccastair/routing/router.h
+++ b/include/yuccastair/routing/router.h
@@ -77,6 +77,9 @@
   std::vector<Excluded> ExplainNone(
       const std::vector<std::string>& tried) const;
 
+  /// Returns whether no member takes requests, whatever its load.
+  bool HasNoUsableMember() const;
+
   /// \p load may be null.
   void End(const Choice& choice, AttemptEnd end, const wire::LoadReport* load);
 
--- a/lib/control/control.cc
+++ b/lib/control/control.cc
@@ -2,6 +2,7 @@
 
 #include "yuccastair/control/control.h"
 
+#include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -24,7 +25,9 @@
 #include "yuccastair/claims/fingerprint_table.h"
 #include "yuccastair/http/server.h"
 #include "yuccastair/membership/registry.h"
+#include "yuccastair/membership/service_watch.h"
 #include "yuccastair/observe/event_log.h"
+#include "yuccastair/observe/metrics.h"
 #include "yuccastair/policy/policy_table.h"
 #include "yuccastair/rates/ledger_record.h"
 #include "yuccastair/state/settings_machine.h"
@@ -39,6 +42,8 @@
 constexpr std::chrono::milliseconds kCoreTick{10};
 // How often the members of the log are compared with those that are followed.
 constexpr std::chrono::milliseconds kMemberCheck{100};
+// How often the services are compared with the targets that are left.
+constexpr std::chrono::milliseconds kServiceCheck{100};
 // Bounds the messages that share one sync of the log.
 constexpr int kMaxBatch = 256;
 constexpr std::size_t kOperatorRequests = 16;
@@ -73,6 +78,7 @@
   explicit Impl(Settings settings)
       : settings_(std::move(settings)),
         registry_(clock_, settings_.member_expiry),
+        service_watch_(clock_, registry_),
         log_(settings_,
              clock_,
              [this](const std::string& address, wire::Envelope envelope) {
@@ -96,6 +102,9 @@
     log_.Register(wire::TABLE_CLAIMS, claim_table_);
     log_.Register(wire::TABLE_FINGERPRINTS, fingerprint_table_);
     log_.Register(wire::TABLE_POLICY, policy_table_);
+    metrics_.RegisterGauge("yuccastair_services_without_target", [this] {
+      return static_cast<double>(without_target_.load());
+    });
     core_ = std::thread([this] { RunOrExit([this] { Run(); }); });
     operator_server_.emplace(OperatorServerOptions());
     support::LogInfo("control.started",
@@ -199,8 +208,10 @@
       options.operator_addresses[settings_.peers[i].ToString()] =
           settings_.operator_peers[i].ToString();
     options.events = &event_log_;
+    options.metrics = &metrics_;
     options.add_status = [this](nlohmann::json& status) {
       status["nodes"] = registry_.size();
+      status["services_without_target"] = service_watch_.without_target();
     };
     return options;
   }
@@ -235,6 +246,7 @@
       crash_service_.Tick();
       policy_service_.Tick();
       FollowControlProcesses();
+      WatchServices();
       log_.Flush();
     }
   }
@@ -363,14 +375,60 @@
       zones.insert(it->second.zone_out().name());
     }
     registry_.SetZonesOut(zones);
+    zones_out_ = std::move(zones);
+  }
+
+  /// Tells operators which services have no target left, and by which orders.
+  void WatchServices() {
+    const support::TimePoint now = clock_.Now();
+    if (now < services_checked_at_ + kServiceCheck)
+      return;
+    services_checked_at_ = now;
+    std::set<std::string> services;
+    for (const auto& service : policy_table_.state().policy().services())
+      services.insert(service.name());
+    for (const auto& change : service_watch_.Check(services))
+      Report(change);
+    without_target_ = service_watch_.without_target();
+  }
+
+  void Report(const membership::ServiceWatch::Change& change) {
+    if (change.has_target) {
+      event_log_.Record(
+          "service.has_target", "the service has a target in service again",
+          {{"service", change.service},
+           {"after_ms",
+            std::chrono::duration_cast<std::chrono::milliseconds>(change.lasted)
+                .count()}});
+      return;
+    }
+    nlohmann::json left_out = nlohmann::json::array();
+    for (const auto& target : change.left_out)
+      left_out.push_back({{"target", target.node_id},
+                          {"zone", target.availability_zone},
+                          {"zone_out", target.zone_out},
+                          {"state", wire::TargetState_Name(target.state)}});
+    metrics_.Count("yuccastair_service_lost_last_target_total",
+                   {{"service", change.service}});
+    event_log_.Record(
+        "service.without_target",
+        "no target of the service is up outside the zones out of service; "
+        "every request that needs it is refused",
+        {{"service", change.service},
+         {"zones_out", zones_out_},
+         {"targets", std::move(left_out)}});
   }
 
   const Settings settings_;
   // Leases of the leader and of rates must end while the instance is suspended.
   const support::BootClock clock_{};
   observe::EventLog event_log_;
+  observe::Metrics metrics_;
+  // Read by the threads that show metrics.
+  std::atomic<std::size_t> without_target_ = 0;
   // Owned by the core thread.
   membership::Registry registry_;
+  membership::ServiceWatch service_watch_;
   state::SettingsMachine settings_table_;
   rates::LedgerRecord ledger_record_;
   claims::ClaimTable claim_table_;
@@ -387,6 +445,8 @@
   support::TimePoint members_checked_at_;
   std::uint64_t zones_version_ = 0;
   std::uint64_t policy_zones_revision_ = 0;
+  std::set<std::string> zones_out_;
+  support::TimePoint services_checked_at_;
   support::BoundedRing<CoreEvent> events_;
   OperatorApi operator_api_;
   wire::Transport transport_;
--- a/lib/control/operator_api.cc
+++ b/lib/control/operator_api.cc
@@ -150,9 +150,15 @@
 }
 
 http::Response OperatorApi::Read(const std::string& path, const Query& query) {
-  // The event log may be read by any thread.
+  // The event log and the metrics may be read by any thread.
   if (path == "/v1/events")
     return JsonResponse(200, Events(query));
+  if (path == "/v1/metrics" && options_.metrics != nullptr) {
+    http::Response response;
+    response.status = 200;
+    response.body = options_.metrics->ToPrometheusText();
+    return response;
+  }
   return RunOnCore([this, path, query](const Answer& answer) {
     if (path == "/v1/status")
       answer(JsonResponse(200, Status()));
--- a/lib/control/operator_api.h
+++ b/lib/control/operator_api.h
@@ -16,6 +16,7 @@
 #include "yuccastair/consensus/state_machine.h"
 #include "yuccastair/http/message.h"
 #include "yuccastair/observe/event_log.h"
+#include "yuccastair/observe/metrics.h"
 #include "yuccastair/state/settings_machine.h"
 
 namespace yuccastair::control {
@@ -28,6 +29,7 @@
 /// GET  /v1/history?since=&limit=
 /// GET  /v1/diff?from=&to=
 /// GET  /v1/events?since=
+/// GET  /v1/metrics (Prometheus text)
 /// POST /v1/plan     what a change would do
 /// POST /v1/changes  a change: 200 committed, 400 invalid, 409 conflict,
 ///                   504 uncertain, 307 or 503 at a process that is not the
@@ -49,6 +51,7 @@
     std::function<void(nlohmann::json&)> add_status;
     /// What this process did by itself; may be null.
     observe::EventLog* events = nullptr;
+    observe::Metrics* metrics = nullptr;
   };
 
   /// What the core thread owns.
--- a/lib/membership/fleet_view.cc
+++ b/lib/membership/fleet_view.cc
@@ -61,6 +61,12 @@
   return false;
 }
 
+bool FleetView::IsKnown(const std::string& service) const {
+  std::lock_guard lock(mutex_);
+  const auto found = services_.find(service);
+  return found != services_.end() && found->second.revision != 0;
+}
+
 std::optional<support::Duration> FleetView::Age() const {
   std::lock_guard lock(mutex_);
   if (!applied_at_)
--- a/lib/membership/registry.cc
+++ b/lib/membership/registry.cc
@@ -91,12 +91,33 @@
          zones_out_.count(member.availability_zone()) == 0;
 }
 
-void Registry::Update(Node& node) {
-  const wire::Member* best = &node.reports.begin()->second;
+const wire::Member& Registry::LatestOf(const Node& node) {
+  const wire::Member* latest = &node.reports.begin()->second;
   for (const auto& [source, report] : node.reports) {
-    if (IsOlder(*best, report))
-      best = &report;
+    if (IsOlder(*latest, report))
+      latest = &report;
+  }
+  return *latest;
+}
+
+std::vector<Registry::LeftOut> Registry::TargetsLeftOut(
+    const std::string& service) const {
+  std::vector<LeftOut> left_out;
+  for (const auto& [node_id, node] : nodes_) {
+    const wire::Member& member = LatestOf(node);
+    if (member.service() != service || IsOffered(member))
+      continue;
+    left_out.push_back({node_id, member.availability_zone(), member.state(),
+                        zones_out_.count(member.availability_zone()) > 0});
   }
+  std::sort(
+      left_out.begin(), left_out.end(),
+      [](const LeftOut& a, const LeftOut& b) { return a.node_id < b.node_id; });
+  return left_out;
+}
+
+void Registry::Update(Node& node) {
+  const wire::Member* best = &LatestOf(node);
   const bool offered = IsOffered(*best);
   if (offered && node.indexed_service == best->service() &&
       SameMember(node.indexed, *best))
--- /dev/null
+++ b/lib/membership/service_watch.cc
@@ -0,0 +1,34 @@
+// Tells each change once.
+
+#include "yuccastair/membership/service_watch.h"
+
+namespace yuccastair::membership {
+
+std::vector<ServiceWatch::Change> ServiceWatch::Check(
+    const std::set<std::string>& services) {
+  std::vector<Change> changes;
+  if (!registry_.IsComplete())
+    return changes;
+  std::erase_if(without_since_, [&](const auto& entry) {
+    return !services.contains(entry.first);
+  });
+  for (const std::string& service : services) {
+    const auto since = without_since_.find(service);
+    const bool had_target = since == without_since_.end();
+    const bool has_target = registry_.HasTarget(service);
+    if (has_target == had_target)
+      continue;
+    Change change{service, has_target, {}, {}};
+    if (has_target) {
+      change.lasted = clock_.Now() - since->second;
+      without_since_.erase(since);
+    } else {
+      change.left_out = registry_.TargetsLeftOut(service);
+      without_since_.emplace(service, clock_.Now());
+    }
+    changes.push_back(std::move(change));
+  }
+  return changes;
+}
+
+}  // namespace yuccastair::membership
--- a/lib/relay/entry.cc
+++ b/lib/relay/entry.cc
@@ -21,6 +21,10 @@
 using std::chrono::milliseconds;
 using stream::Task;
 
+// Control processes have told the members of the service, and none of them
+// takes requests: it leaves, is down, or its zone is out of service.
+constexpr const char* kNoTargetInService =
+    "the service has no target in service";
 // Relays that one request is offered to before it is refused. Their refusals
 // reach no target, so they cost little, but each takes time.
 constexpr std::size_t kMaxPlacements = 3;
@@ -247,6 +251,9 @@
     const auto choice = service.router.Choose(call.idempotent, request.tried);
     if (!choice) {
       request.excluded = service.router.ExplainNone(request.tried);
+      if (request.tried.empty() && service.router.HasNoUsableMember() &&
+          parts_.fleet.IsKnown(call.service))
+        result = CallResult::NotRun(kNoTargetInService);
       if (failure)
         result = std::move(*failure);
       co_return result;
@@ -423,6 +430,7 @@
   parts_.metrics.Observe("yuccastair_request_seconds",
                          {{"route", request.call.route}},
                          parts_.clock.Now() - request.began);
+  counts_.Count(request.call, status, reason.empty());
   if (request.parent)
     NoteCallEnd(request, status);
   if (reason.empty())
--- a/lib/relay/entry.h
+++ b/lib/relay/entry.h
@@ -12,6 +12,7 @@
 #include "fleet.h"
 #include "peer_client.h"
 #include "rate_guard.h"
+#include "request_counts.h"
 #include "target_proxy.h"
 #include "yuccastair/observe/line_budget.h"
 #include "yuccastair/observe/metrics.h"
@@ -53,6 +54,9 @@
 
   void SetService(std::string service) { service_ = std::move(service); }
 
+  /// How requests have ended since these were taken last.
+  RequestCounts& counts() { return counts_; }
+
  private:
   /// What is known of a request before it is sent.
   struct Request {
@@ -115,6 +119,7 @@
   const std::string own_id_;
   std::string service_;
   observe::LineBudget lines_;
+  RequestCounts counts_;
 };
 
 }  // namespace yuccastair::relay
--- a/lib/relay/fleet.h
+++ b/lib/relay/fleet.h
@@ -38,6 +38,10 @@
   bool IsZoneOut(const std::string& zone) const {
     return zones_out_.count(zone) > 0;
   }
+  /// Returns whether a control process has told the members of \p service.
+  bool IsKnown(const std::string& service) const {
+    return view_.IsKnown(service);
+  }
   SharePicker& shares() { return shares_; }
   ServiceRoute& RouteTo(const std::string& service);
 
--- a/lib/routing/router.cc
+++ b/lib/routing/router.cc
@@ -91,6 +91,11 @@
   return excluded;
 }
 
+bool Router::HasNoUsableMember() const {
+  return std::none_of(targets_.begin(), targets_.end(),
+                      [&](const auto& entry) { return Accepts(entry.second); });
+}
+
 bool Router::ProbeDue(const Target& target, bool idempotent) const {
   if (target.probing || clock_.Now() < *target.ejected_until)
     return false;
--- /dev/null
+++ b/unittests/membership/service_watch_test.cc
@@ -0,0 +1,102 @@
+// Services that lose their last target by several orders.
+
+#include "yuccastair/membership/service_watch.h"
+
+#include <catch2/catch.hpp>
+
+namespace yuccastair::membership {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kExpiry{3000};
+
+class Preview {
+ public:
+  Preview() {
+    for (const char* zone : {"a", "b", "c"})
+      Report(zone, wire::TARGET_STATE_UP);
+    clock_.Advance(kExpiry);
+    for (const char* zone : {"a", "b", "c"})
+      Report(zone, wire::TARGET_STATE_UP);
+  }
+
+  /// A report of the node beside the only target in \p zone.
+  void Report(const std::string& zone, wire::TargetState state) {
+    wire::Member member;
+    member.set_node_id("node-" + zone);
+    member.set_incarnation("1");
+    member.set_service("preview");
+    member.set_availability_zone(zone);
+    member.set_address("127.0.0.1:1");
+    member.set_state(state);
+    registry_.Report(member);
+  }
+
+  std::vector<ServiceWatch::Change> Check() {
+    return watch_.Check({"preview"});
+  }
+
+  support::ManualClock clock_;
+  Registry registry_{clock_, kExpiry};
+  ServiceWatch watch_{clock_, registry_};
+};
+
+// Guards against operators who learn only from failed requests that a zone
+// they have taken out holds the last target of a service.
+TEST_CASE("a service whose last target leaves beside a zone out is told once") {
+  Preview fleet;
+  CHECK(fleet.Check().empty());
+  fleet.Report("b", wire::TARGET_STATE_LEAVING);
+  fleet.registry_.SetZonesOut({"a"});
+  CHECK(fleet.Check().empty());
+  fleet.Report("c", wire::TARGET_STATE_DRAINING);
+  CHECK(fleet.Check().empty());
+  fleet.Report("c", wire::TARGET_STATE_LEAVING);
+  const auto changes = fleet.Check();
+  REQUIRE(changes.size() == 1);
+  CHECK(changes[0].service == "preview");
+  CHECK_FALSE(changes[0].has_target);
+  REQUIRE(changes[0].left_out.size() == 3);
+  CHECK(changes[0].left_out[0].node_id == "node-a");
+  CHECK(changes[0].left_out[0].zone_out);
+  CHECK(changes[0].left_out[0].state == wire::TARGET_STATE_UP);
+  CHECK_FALSE(changes[0].left_out[2].zone_out);
+  CHECK(changes[0].left_out[2].state == wire::TARGET_STATE_LEAVING);
+  CHECK(fleet.watch_.without_target() == 1);
+  CHECK(fleet.Check().empty());
+}
+
+TEST_CASE("a service whose zone returns is told with the time it had none") {
+  Preview fleet;
+  fleet.registry_.SetZonesOut({"a", "b", "c"});
+  REQUIRE(fleet.Check().size() == 1);
+  fleet.clock_.Advance(milliseconds(700));
+  fleet.registry_.SetZonesOut({"a", "b"});
+  const auto changes = fleet.Check();
+  REQUIRE(changes.size() == 1);
+  CHECK(changes[0].has_target);
+  CHECK(changes[0].lasted == milliseconds(700));
+  CHECK(fleet.watch_.without_target() == 0);
+}
+
+// Guards against false alarms after each restart of a control process.
+TEST_CASE("a control process that has just started tells nothing") {
+  support::ManualClock clock;
+  Registry registry(clock, kExpiry);
+  ServiceWatch watch(clock, registry);
+  CHECK(watch.Check({"preview"}).empty());
+  clock.Advance(kExpiry);
+  CHECK(watch.Check({"preview"}).size() == 1);
+}
+
+TEST_CASE("a service that is no longer in the policy is forgotten") {
+  Preview fleet;
+  fleet.registry_.SetZonesOut({"a", "b", "c"});
+  REQUIRE(fleet.Check().size() == 1);
+  CHECK(fleet.watch_.Check({}).empty());
+  CHECK(fleet.watch_.without_target() == 0);
+}
+
+}  // namespace
+}  // namespace yuccastair::membership
--- a/unittests/platform/soak_layout.h
+++ b/unittests/platform/soak_layout.h
@@ -17,10 +17,11 @@
  public:
   static constexpr int kControls = 3;
 
-  /// First ports of the two tests that use this layout. No other test uses
+  /// First ports of the tests that use this layout. No other test uses
   /// those from there on.
   static constexpr int kSoakPorts = 16000;
   static constexpr int kWholeRestartPorts = 11000;
+  static constexpr int kWithoutTargetPorts = 15000;
 
   /// Seeds that run at the same time have ports of their own.
   SoakLayout(int first_port, std::uint64_t seed)
@@ -28,6 +29,7 @@
                     static_cast<int>(seed % kPortRanges) * kPortsOfSeed) {}
 
   support::Address Policy(int i) const { return Port(10 + i); }
+  support::Address Operator(int i) const { return Port(20 + i); }
   support::Address Callers(int i) const { return RelayPort(i, 0); }
   support::Address TargetCalls(int i) const { return RelayPort(i, 1); }
   support::Address Ready(int i) const { return RelayPort(i, 2); }
@@ -45,7 +47,7 @@
         "[control]\nid = \"" + id + "\"\navailability_zone = \"z" +
             std::to_string(i) + "\"\npeer_listen = \"" +
             ControlPeer(i).ToString() + "\"\noperator_listen = \"" +
-            Port(20 + i).ToString() + "\"\npolicy_listen = \"" +
+            Operator(i).ToString() + "\"\npolicy_listen = \"" +
             Policy(i).ToString() + "\"\ndata_dir = \"" + DataDir(i).string() +
             "\"\nseeds = " + Seeds() +
             "\nform_cluster = " + (form_cluster ? "true" : "false") + "\n");
--- a/unittests/relay/entry_test.cc
+++ b/unittests/relay/entry_test.cc
@@ -52,6 +52,12 @@
     policy.add_organisations()->set_name("acme");
     policy.add_services()->set_name("s");
     policy.add_services()->set_name("deep");
+    wire::PolicyRoute& closed = *policy.add_routes();
+    closed = route;
+    closed.set_name("closed");
+    closed.set_path_prefix("/closed/");
+    closed.mutable_shares(0)->set_service("closed");
+    policy.add_services()->set_name("closed");
     wire::SyncReply reply;
     reply.set_policy(policy.SerializeAsString());
     wire::ServiceMembers& members = *reply.add_services();
@@ -109,6 +115,8 @@
           const stream::ErrorCode error = co_await reader.ReadHead(16384);
           if (!error)
             status = reader.head().result_int();
+          text_.clear();
+          co_await reader.ReadUpTo(text_, std::size_t{1} << 16);
           done = true;
         },
         stream::asio::detached);
@@ -137,6 +145,8 @@
   observe::Metrics metrics_;
   ScriptedTarget own_;
   ScriptedTarget other_;
+  // The body of the last answer.
+  std::string text_;
   Fleet fleet_{clock_, "a"};
   TargetProxy target_{context_, clock_, names_, 2000ms, metrics_};
   PeerClient peers_{context_, clock_};
@@ -168,6 +178,28 @@
   RefusedForAll() : EntryFixture(Refusal()) {}
 };
 
+// Guards against callers and operators who cannot tell a service that was taken
+// away from one that is overloaded or not known yet.
+TEST_CASE_METHOD(RefusedForAll,
+                 "the answer says that no target is in service") {
+  CHECK(Ask("/closed/x") == 503);
+  CHECK(text_ == "no target can be reached\n");
+  wire::SyncReply reply;
+  wire::ServiceMembers& members = *reply.add_services();
+  members.set_service("closed");
+  members.set_revision(1);
+  members.set_full(true);
+  fleet_.Apply(reply);
+  CHECK(Ask("/closed/x") == 503);
+  CHECK(text_ == "the service has no target in service\n");
+  AddMember(members, "leaving", "127.0.0.1:1");
+  members.mutable_members(0)->set_state(wire::TARGET_STATE_LEAVING);
+  members.set_revision(2);
+  fleet_.Apply(reply);
+  CHECK(Ask("/closed/x") == 503);
+  CHECK(text_ == "the service has no target in service\n");
+}
+
 // Guards against an answer of a target that is thrown away for a repeat that
 // then does not take place, so that the caller is told 502.
 TEST_CASE_METHOD(RefusedRepeat, "a refused repeat leaves the first answer") {
