Let routes wait for a service that has no target, and return with it

Callers saw requests that failed after they had been started although no target could answer their calls, and service that stayed away for seconds after a target was back.

Cause: the throttle knew only that calls were refused. It took a service without any target for one without room, went on trying one request in 25, and saw the return by those alone: a recovery whose time depends on how often the held back requests are tried.

The relay that finds no target of a service in service names it; the name travels back with the answers to each request that needed it; after six such requests in a row a route waits, if the relay's own view agrees, and at least half of its requests are admitted as soon as that view has a target again. A request that is served without the service ends the waiting. Callers and the log get the reason.

Tests: admission_chain_overload_test (two cases that fail with a throttle that never waits), admission_call_throttle_test, relay_entry_test, relay_peer_protocol_test.

--- a/include/yuccastair/admission/call_throttle.h
+++ b/include/yuccastair/admission/call_throttle.h
@@ -6,6 +6,7 @@
 #include <array>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <unordered_map>
 
@@ -33,7 +34,9 @@
 ///
 /// Admits a share of the new requests of each route, the most important ones
 /// first. The share follows the part of the admitted requests whose calls were
-/// all served. Not safe for use by several threads.
+/// all served. A route whose requests all need a service without any target
+/// waits for that service instead, since nothing has to be tried to see that it
+/// is back. Not safe for use by several threads.
 class CallThrottle {
  public:
   /// Admitted requests for each one whose calls are served, where calls are
@@ -63,14 +66,33 @@
   /// gets fewer requests.
   static constexpr std::uint32_t kLeastEnded = 6;
   static constexpr std::chrono::milliseconds kLongestInterval{500};
+  /// Requests in a row that have lost a call to a service without targets,
+  /// before their route waits for it.
+  static constexpr std::uint32_t kMissingToWait = 6;
+  /// Of a route that waits, one request is admitted in this time: requests that
+  /// do not need the service may have come up.
+  static constexpr std::chrono::seconds kProbeOfWaiting{5};
+  /// Least share of a route whose service has a target again. The first targets
+  /// may be few or cold.
+  static constexpr double kShareOfReturn = 0.5;
 
   explicit CallThrottle(const support::Clock& clock) : clock_(clock) {}
 
+  /// Tells whether a service has a target in service, as far as is known here.
+  /// Routes wait for no service if this is not set.
+  std::function<bool(const std::string& service)> has_target;
+
   /// Returns whether a new request may go on to the queue of the target.
   bool Admit(const std::string& route, wire::Importance importance);
 
-  /// An admitted request has been answered by the target.
-  void OnEnd(const std::string& route, CallsEnd end);
+  /// An admitted request has been answered by the target. \p missing_service is
+  /// the service without targets to which it has lost a call; empty if none.
+  void OnEnd(const std::string& route,
+             CallsEnd end,
+             const std::string& missing_service = "");
+
+  /// The service without targets that \p route waits for; empty if none.
+  std::string MissingServiceOf(const std::string& route) const;
 
   /// The share of the new requests of \p route that is admitted now.
   double ShareOf(const std::string& route) const;
@@ -88,6 +110,10 @@
     std::uint32_t clean = 0;
     std::uint32_t reduced = 0;
     support::TimePoint changed_at;
+    // Empty unless the route waits for a service.
+    std::string missing_service;
+    std::uint32_t missing_in_a_row = 0;
+    support::TimePoint probe_at;
     // Since the last change.
     std::uint32_t ended = 0;
     std::uint32_t served_by_full = 0;
@@ -100,8 +126,16 @@
     std::array<double, kImportances> credit{};
   };
 
+  bool HasTarget(const std::string& service) const {
+    return !has_target || has_target(service);
+  }
+  bool AdmitWaiting(Route& route) const;
+  void NoteMissing(Route& route,
+                   CallsEnd end,
+                   const std::string& missing_service) const;
   bool IsChangeDue(const Route& route) const;
   void Change(Route& route) const;
+  void ResetInterval(Route& route) const;
   static double HeadroomOf(const Route& route);
   /// Returns by how much the share is multiplied.
   static double Factor(Route& route);
--- a/lib/admission/call_throttle.cc
+++ b/lib/admission/call_throttle.cc
@@ -37,6 +37,8 @@
   if (found == routes_.end())
     return true;
   Route& route = found->second;
+  if (!route.missing_service.empty() && !AdmitWaiting(route))
+    return false;
   const auto rank = static_cast<std::size_t>(importance);
   ++route.arrived[rank];
   if (route.share >= 1)
@@ -48,7 +50,50 @@
   return true;
 }
 
-void CallThrottle::OnEnd(const std::string& name, CallsEnd end) {
+/// Returns whether a request of a route that waits may go on; ends the waiting
+/// if the service has a target again.
+bool CallThrottle::AdmitWaiting(Route& route) const {
+  const support::TimePoint now = clock_.Now();
+  if (!HasTarget(route.missing_service)) {
+    if (now < route.probe_at)
+      return false;
+    route.probe_at = now + kProbeOfWaiting;
+    return true;
+  }
+  route.missing_service.clear();
+  route.missing_in_a_row = 0;
+  route.share = std::max(route.share, kShareOfReturn);
+  route.reduced = 0;
+  route.admitted.fill(route.share);
+  ResetInterval(route);
+  return true;
+}
+
+void CallThrottle::NoteMissing(Route& route,
+                               CallsEnd end,
+                               const std::string& missing_service) const {
+  if (!IsRefusal(end))
+    route.missing_service.clear();
+  if (!IsRefusal(end) || missing_service.empty()) {
+    route.missing_in_a_row = 0;
+    return;
+  }
+  ++route.missing_in_a_row;
+  if (!route.missing_service.empty() ||
+      route.missing_in_a_row < kMissingToWait || HasTarget(missing_service))
+    return;
+  route.missing_service = missing_service;
+  route.probe_at = clock_.Now() + kProbeOfWaiting;
+}
+
+std::string CallThrottle::MissingServiceOf(const std::string& name) const {
+  const auto found = routes_.find(name);
+  return found == routes_.end() ? "" : found->second.missing_service;
+}
+
+void CallThrottle::OnEnd(const std::string& name,
+                         CallsEnd end,
+                         const std::string& missing_service) {
   if (!routes_.contains(name)) {
     // Only routes that have lost a call are of interest.
     if (!IsRefusal(end) || routes_.size() >= kMaxRoutes)
@@ -56,6 +101,7 @@
     routes_[name].changed_at = clock_.Now();
   }
   Route& route = routes_[name];
+  NoteMissing(route, end, missing_service);
   ++route.ended;
   route.served_by_full += end == CallsEnd::kServedByFull ? 1 : 0;
   route.refused += IsRefusal(end) ? 1 : 0;
@@ -106,6 +152,10 @@
                              kLeastShare, 1.0);
   route.share = std::clamp(route.share * Factor(route), route.least, 1.0);
   Spread(route);
+  ResetInterval(route);
+}
+
+void CallThrottle::ResetInterval(Route& route) const {
   route.changed_at = clock_.Now();
   route.ended = 0;
   route.served_by_full = 0;
--- a/lib/ctl/explain.cc
+++ b/lib/ctl/explain.cc
@@ -34,7 +34,7 @@
 };
 
 // By the beginning of the reason in request.ended.
-constexpr std::array<Cause, 20> kCauses = {{
+constexpr std::array<Cause, 21> kCauses = {{
     {"no slot became free",
      "overload: the slots of the target were taken until the time to wait was "
      "over"},
@@ -53,6 +53,9 @@
     {"the service has no target in service",
      "each target of the service leaves, is down, or is in a zone that is out "
      "of service; service.without_target names them"},
+    {"a service that such requests call has no target in service",
+     "missing_service, which the target calls, has no target in service; "
+     "service.without_target names its targets"},
     {"no target can be reached",
      "no target of the service was known that takes requests"},
     {"the target is draining", "planned work: the target was leaving"},
@@ -121,6 +124,7 @@
       continue;
     selected.push_back(line);
     services.insert(line.value("service", ""));
+    services.insert(line.value("missing_service", ""));
     instances.insert(line.value("instance", ""));
     for (const Json& attempt : line.value("attempts", Json::array()))
       instances.insert(attempt.value("target", ""));
--- a/lib/relay/call.h
+++ b/lib/relay/call.h
@@ -104,6 +104,9 @@
   bool call_failed = false;
   /// The worst that any call of the target has met.
   admission::CallsEnd calls_end = admission::CallsEnd::kServed;
+  /// The service without a target in service to which the request, or a call
+  /// that it made, could not be sent; empty if there was none.
+  std::string missing_service;
   /// Requests of this kind are refused because of the calls that they make, so
   /// other targets of the service would refuse as well.
   bool overloaded_below = false;
--- a/lib/relay/entry.cc
+++ b/lib/relay/entry.cc
@@ -251,9 +251,10 @@
     const auto choice = service.router.Choose(call.idempotent, request.tried);
     if (!choice) {
       request.excluded = service.router.ExplainNone(request.tried);
-      if (request.tried.empty() && service.router.HasNoUsableMember() &&
-          parts_.fleet.IsKnown(call.service))
+      if (request.tried.empty() && !parts_.fleet.MayHaveTarget(call.service)) {
         result = CallResult::NotRun(kNoTargetInService);
+        result.missing_service = call.service;
+      }
       if (failure)
         result = std::move(*failure);
       co_return result;
@@ -353,6 +354,7 @@
                          Request& request,
                          CallResult result) {
   request.calls_end = result.calls_end;
+  request.missing_service = result.missing_service;
   if (result.load && result.load->queued() > 0)
     request.calls_end =
         std::max(request.calls_end, admission::CallsEnd::kServedByFull);
@@ -419,6 +421,8 @@
     end = request.without_room ? CallsEnd::kNoRoom : CallsEnd::kRefused;
   parent.calls_end = std::max(parent.calls_end, end);
   parent.call_failed |= !served;
+  if (!served && !request.missing_service.empty())
+    parent.missing_service = request.missing_service;
 }
 
 void Entry::Record(const Request& request,
@@ -453,6 +457,8 @@
       {"ms", std::chrono::duration_cast<milliseconds>(parts_.clock.Now() -
                                                       request.began)
                  .count()}};
+  if (!request.missing_service.empty())
+    fields["missing_service"] = request.missing_service;
   if (request.excluded)
     fields["members_left_out"] = ToJson(*request.excluded);
   support::LogInfo("request.ended", fields);
--- a/lib/relay/entry.h
+++ b/lib/relay/entry.h
@@ -82,6 +82,8 @@
     admission::CallsEnd calls_end = admission::CallsEnd::kServed;
     // Whether it was refused without reaching a target, since none has room.
     bool without_room = false;
+    // The service without targets that it or a call of its target needs.
+    std::string missing_service;
   };
   struct Refusal {
     unsigned status = 0;
--- a/lib/relay/fleet.cc
+++ b/lib/relay/fleet.cc
@@ -47,6 +47,11 @@
   return added.first->second;
 }
 
+bool Fleet::MayHaveTarget(const std::string& service) {
+  return !view_.IsKnown(service) ||
+         !RouteTo(service).router.HasNoUsableMember();
+}
+
 void Fleet::FollowServices() {
   for (const wire::PolicyService& service : policy_->policy().services())
     RouteTo(service.name());
--- a/lib/relay/fleet.h
+++ b/lib/relay/fleet.h
@@ -38,10 +38,9 @@
   bool IsZoneOut(const std::string& zone) const {
     return zones_out_.count(zone) > 0;
   }
-  /// Returns whether a control process has told the members of \p service.
-  bool IsKnown(const std::string& service) const {
-    return view_.IsKnown(service);
-  }
+  /// Returns whether \p service has a target in service, or its members are not
+  /// known.
+  bool MayHaveTarget(const std::string& service);
   SharePicker& shares() { return shares_; }
   ServiceRoute& RouteTo(const std::string& service);
 
--- a/lib/relay/peer_protocol.cc
+++ b/lib/relay/peer_protocol.cc
@@ -29,8 +29,9 @@
 // Outcome, status of the target, reached, retry after ms, running, queued,
 // limit, state, call failed, call refused, overloaded below.
 constexpr std::size_t kResultNumbers = 11;
-// The reason follows, if there is one: white space at the end of a header is
-// not passed on, so no part that may be empty can be the last.
+// The reason and the missing service follow, as far as there are any: white
+// space at the end of a header is not passed on, so no part that may be empty
+// can be the last.
 
 template <std::size_t kCount>
 std::string Join(const std::array<std::int64_t, kCount>& numbers) {
@@ -142,8 +143,10 @@
        result.retry_after.count(), load.running(), load.queued(), load.limit(),
        load.state(), result.call_failed,
        static_cast<std::int64_t>(result.calls_end), result.overloaded_below});
-  if (!result.reason.empty())
+  if (!result.reason.empty() || !result.missing_service.empty())
     text += kSeparator + result.reason;
+  if (!result.missing_service.empty())
+    text += kSeparator + result.missing_service;
   head.set(kHeader, text);
   return head;
 }
@@ -168,7 +171,10 @@
   result.calls_end = static_cast<admission::CallsEnd>(calls_end);
   result.overloaded_below = overloaded_below != 0;
   result.retry_after = milliseconds(retry_after);
-  result.reason = text.substr(std::min(end + 1, text.size()));
+  const std::string_view rest = text.substr(std::min(end + 1, text.size()));
+  const std::size_t reason_end = std::min(rest.find(kSeparator), rest.size());
+  result.reason = rest.substr(0, reason_end);
+  result.missing_service = rest.substr(std::min(reason_end + 1, rest.size()));
   wire::LoadReport load;
   load.set_running(static_cast<std::uint32_t>(running));
   load.set_queued(static_cast<std::uint32_t>(queued));
--- a/lib/relay/relay.cc
+++ b/lib/relay/relay.cc
@@ -100,6 +100,9 @@
                                 return HandleMetrics(exchange);
                               });
     target_proxy_.on_state_changed = [this] { link_.Wake(); };
+    target_proxy_.SetTargetLookup([this](const std::string& service) {
+      return fleet_.MayHaveTarget(service);
+    });
     metrics_.RegisterGauge("yuccastair_control_view_age_seconds", [this] {
       return std::chrono::duration<double>(clock_.Now() - link_.fresh_at())
           .count();
--- a/lib/relay/running_requests.h
+++ b/lib/relay/running_requests.h
@@ -31,6 +31,8 @@
   bool call_failed = false;
   /// The worst that any of its calls has met.
   admission::CallsEnd calls_end = admission::CallsEnd::kServed;
+  /// A service without targets to which a call could not be sent.
+  std::string missing_service;
 };
 
 /// Finds the request for which the own target makes a call. Targets do not name
--- a/lib/relay/target_proxy.cc
+++ b/lib/relay/target_proxy.cc
@@ -232,8 +232,12 @@
 }
 
 CallResult TargetProxy::HeldBack(const RelayCall& call) const {
-  CallResult refusal =
-      CallResult::NotRun("calls of such requests are turned away");
+  const std::string missing = throttle_.MissingServiceOf(call.route);
+  CallResult refusal = CallResult::NotRun(
+      missing.empty() ? "calls of such requests are turned away"
+                      : "a service that such requests call has no target in "
+                        "service");
+  refusal.missing_service = missing;
   refusal.overloaded_below = true;
   refusal.retry_after = kRetrySoon;
   refusal.load = Load();
@@ -288,9 +292,10 @@
     result = co_await Exchange(call, end);
     requests_.Remove(running);
     result.call_failed = running->call_failed;
+    result.missing_service = running->missing_service;
     result.calls_end = running->calls_end;
     if (call.depth <= 1 && !call.cancellation.requested()) {
-      throttle_.OnEnd(call.route, running->calls_end);
+      throttle_.OnEnd(call.route, running->calls_end, running->missing_service);
       NoteShare(call.route);
     }
   }
--- a/lib/relay/target_proxy.h
+++ b/lib/relay/target_proxy.h
@@ -59,6 +59,11 @@
   const RunningRequests& running_requests() const { return requests_; }
   std::size_t held() const { return waiting_.size() + admission_.running(); }
 
+  /// Sets how requests learn whether a service that they need has a target.
+  void SetTargetLookup(std::function<bool(const std::string& service)> lookup) {
+    throttle_.has_target = std::move(lookup);
+  }
+
   /// Called when others should learn of a new state at once.
   std::function<void()> on_state_changed;
 
--- a/rig/chain_simulation.h
+++ b/rig/chain_simulation.h
@@ -64,8 +64,12 @@
       : classes_(std::move(classes)), tallies_(classes_.size()), random_(seed) {
     for (const ChainService& service : services) {
       std::vector<std::unique_ptr<Target>> targets;
-      for (std::size_t i = 0; i < service.targets; ++i)
+      for (std::size_t i = 0; i < service.targets; ++i) {
         targets.push_back(std::make_unique<Target>(clock_, service.slots));
+        targets.back()->throttle.has_target = [this](const std::string& name) {
+          return HasTarget(std::stoul(name));
+        };
+      }
       services_.push_back(std::move(targets));
     }
     for (std::size_t i = 0; i < classes_.size(); ++i)
@@ -82,6 +86,12 @@
 
   void RunFor(Microseconds time) { events_.RunFor(time); }
 
+  bool HasTarget(std::size_t service) const {
+    const auto& targets = services_[service];
+    return std::any_of(targets.begin(), targets.end(),
+                       [](const auto& target) { return target->up; });
+  }
+
   void ResetTallies() { tallies_.assign(classes_.size(), {}); }
   const ChainTally& tally(std::size_t index) const { return tallies_[index]; }
 
@@ -122,6 +132,8 @@
     bool running = false;
     bool ended = false;
     CallsEnd calls_end = CallsEnd::kServed;
+    // A service without targets to which it has lost a call, or that it is of.
+    std::string missing_service;
   };
   using Held = std::shared_ptr<Work>;
 
@@ -192,6 +204,9 @@
         open.push_back(target.get());
     }
     if (open.empty() || work->tried.size() >= kMaxPlacements) {
+      const std::size_t service = classes_[work->index].service;
+      if (!HasTarget(service))
+        work->missing_service = std::to_string(service);
       Finish(work, End::kRefused);
       return;
     }
@@ -264,9 +279,12 @@
   void Finish(const Held& work, End end) {
     if (std::exchange(work->ended, true))
       return;
+    if (work->parent && end != End::kServed && !work->missing_service.empty())
+      work->parent->missing_service = work->missing_service;
     if (work->running) {
       if (work->call.depth <= 1)
-        work->target->throttle.OnEnd(work->call.route, work->calls_end);
+        work->target->throttle.OnEnd(work->call.route, work->calls_end,
+                                     work->missing_service);
       if (work->target->admission.queued() > 0)
         work->calls_end = std::max(work->calls_end, CallsEnd::kServedByFull);
       if (work->parent)
--- a/unittests/admission/call_throttle_test.cc
+++ b/unittests/admission/call_throttle_test.cc
@@ -146,5 +146,71 @@
   CHECK(throttle.ShareOf("r") == Approx(1));
 }
 
+/// A route whose requests have all lost a call to the service "deep", which has
+/// no target.
+class WaitingRoute {
+ public:
+  WaitingRoute() {
+    throttle_.has_target = [this](const std::string&) { return has_target_; };
+    for (std::uint32_t i = 0; i < CallThrottle::kMissingToWait; ++i)
+      throttle_.OnEnd("r", CallsEnd::kNoRoom, "deep");
+  }
+
+  /// Arrivals that are admitted in a second, of a hundred.
+  int AdmittedInSecond() {
+    int admitted = 0;
+    for (int i = 0; i < 100; ++i) {
+      clock_.Advance(10ms);
+      admitted += throttle_.Admit("r", wire::IMPORTANCE_NORMAL) ? 1 : 0;
+    }
+    return admitted;
+  }
+
+  support::ManualClock clock_;
+  CallThrottle throttle_{clock_};
+  bool has_target_ = false;
+};
+
+// Guards against requests that are started in vain while a service is away.
+TEST_CASE("a route waits for a service without targets") {
+  WaitingRoute route;
+  CHECK(route.throttle_.MissingServiceOf("r") == "deep");
+  CHECK(route.AdmittedInSecond() == 0);
+  route.has_target_ = true;
+  CHECK(route.AdmittedInSecond() >= 50);
+  CHECK(route.throttle_.MissingServiceOf("r").empty());
+}
+
+// Guards against a route that is refused as a whole because some of its
+// requests need a service that is away.
+TEST_CASE("a route does not wait while some of its requests are served") {
+  WaitingRoute route;
+  int probes = 0;
+  for (int i = 0; i < 6; ++i)
+    probes += route.AdmittedInSecond();
+  CHECK(probes == 1);
+  route.throttle_.OnEnd("r", CallsEnd::kServed);
+  CHECK(route.throttle_.MissingServiceOf("r").empty());
+  for (int i = 0; i < 100; ++i) {
+    route.throttle_.OnEnd("r", CallsEnd::kNoRoom, "deep");
+    route.throttle_.OnEnd("r", CallsEnd::kServed);
+  }
+  CHECK(route.throttle_.MissingServiceOf("r").empty());
+}
+
+// Guards against a relay that has not heard of a service's target yet and
+// refuses what another one could serve.
+TEST_CASE("a route does not wait for a service that is not known to be away") {
+  support::ManualClock clock;
+  CallThrottle throttle(clock);
+  for (int i = 0; i < 100; ++i)
+    throttle.OnEnd("r", CallsEnd::kNoRoom, "deep");
+  CHECK(throttle.MissingServiceOf("r").empty());
+  throttle.has_target = [](const std::string&) { return true; };
+  for (int i = 0; i < 100; ++i)
+    throttle.OnEnd("r", CallsEnd::kNoRoom, "deep");
+  CHECK(throttle.MissingServiceOf("r").empty());
+}
+
 }  // namespace
 }  // namespace yuccastair::admission
--- a/unittests/admission/chain_overload_test.cc
+++ b/unittests/admission/chain_overload_test.cc
@@ -87,5 +87,30 @@
   CheckWhole(simulation);
 }
 
+// Guards against requests that are started though their relay knows that a
+// service they need has no target.
+TEST_CASE("one request in a hundred is started while no target is in service") {
+  const std::size_t front_targets = GENERATE(std::size_t{6}, std::size_t{24});
+  ChainSimulation simulation = MakeSimulation(1, front_targets);
+  RunBelowCapacity(simulation, 0, 20s);
+  const ChainTally& report = simulation.tally(kReport);
+  const ChainTally& order = simulation.tally(kOrder);
+  CAPTURE(front_targets, report.sent, report.failed, order.sent, order.failed);
+  CHECK(Share(report.failed + order.failed, report.sent + order.sent) < 0.01);
+}
+
+// Guards against requests that stay away from a service that has targets again,
+// because its return is only seen by requests that are started to try it.
+TEST_CASE("service is whole a second after the first target returns") {
+  const std::size_t front_targets = GENERATE(std::size_t{6}, std::size_t{24});
+  ChainSimulation simulation = MakeSimulation(1, front_targets);
+  simulation.RunFor(5s);
+  simulation.SetTargetsUp(kDeep, 0);
+  simulation.RunFor(20s);
+  simulation.SetTargetsUp(kDeep, kDeepTargets);
+  simulation.RunFor(1s);
+  CheckWhole(simulation);
+}
+
 }  // namespace
 }  // namespace yuccastair::admission
--- a/unittests/relay/entry_test.cc
+++ b/unittests/relay/entry_test.cc
@@ -318,11 +318,14 @@
   // A call of the call was refused, and its target did without.
   CallResult served_without = served;
   served_without.calls_end = CallsEnd::kNoRoom;
+  served_without.missing_service = "away";
   CallResult failed = served;
   failed.head.result(500);
   CallResult failed_below = failed;
   failed_below.call_failed = true;
   failed_below.calls_end = CallsEnd::kNoRoom;
+  CallResult failed_without_target = failed_below;
+  failed_without_target.missing_service = "away";
   CallResult refused_by_target = CallResult::NotRun("status 503");
   refused_by_target.reached_target = true;
   const CallResult refused = CallResult::NotRun("the queue is full");
@@ -331,6 +334,7 @@
     const CallResult& answer;
     CallsEnd end;
     bool failed;
+    const char* missing_service = "";
   };
   const std::vector<Row> rows{
       {"served", served, CallsEnd::kServed, false},
@@ -340,6 +344,8 @@
        CallsEnd::kServedByFull, false},
       {"failed by the target", failed, CallsEnd::kServed, true},
       {"failed for want of room below", failed_below, CallsEnd::kNoRoom, true},
+      {"failed for want of a target below", failed_without_target,
+       CallsEnd::kNoRoom, true, "away"},
       {"refused by the target", refused_by_target, CallsEnd::kRefused, true},
       {"refused for want of room", refused, CallsEnd::kNoRoom, true}};
   for (const Row& row : rows) {
@@ -349,6 +355,7 @@
     REQUIRE(parent);
     CHECK(parent->calls_end == row.end);
     CHECK(parent->call_failed == row.failed);
+    CHECK(parent->missing_service == row.missing_service);
   }
 }
 
--- a/unittests/relay/peer_protocol_test.cc
+++ b/unittests/relay/peer_protocol_test.cc
@@ -129,6 +129,19 @@
   CHECK(got.reason.empty());
 }
 
+// Guards against requests that are started in vain, since their relay never
+// learns that a service further down has no target.
+TEST_CASE("a missing service arrives with and without a reason") {
+  for (const char* reason : {"", "no target"}) {
+    CallResult sent = CallResult::NotRun(reason);
+    sent.missing_service = "deep";
+    CallResult got;
+    REQUIRE(DecodeResult(EncodeResult(sent), got));
+    CHECK(got.reason == reason);
+    CHECK(got.missing_service == "deep");
+  }
+}
+
 // Guards against an answer of some other process at a reused address, which
 // would be passed on as that of the target.
 TEST_CASE("an answer without an outcome is none") {
