Play a loss of all power in the whole restart test

The test ended the processes of the system only, while their targets went on. A final fault may take the power of everything: targets then end too and return cold, at a rate that the relays bound. The second case plays that with new processes of the targets, cold for 1 s; unsynced bytes are not dropped.

--- a/unittests/platform/system_client.h
+++ b/unittests/platform/system_client.h
@@ -3,6 +3,7 @@
 #ifndef YUCCASTAIR_UNITTESTS_PLATFORM_SYSTEM_CLIENT_H_
 #define YUCCASTAIR_UNITTESTS_PLATFORM_SYSTEM_CLIENT_H_
 
+#include <algorithm>
 #include <chrono>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -114,19 +115,27 @@
   }
 
   /// Announces a target of service "s1" to its relay again and again until
-  /// \p finished.
-  stream::Task<void> Announce(std::string id,
-                              support::Address target,
-                              support::Address relay,
-                              std::shared_ptr<const bool> finished) {
+  /// \p finished. The target has just started and is cold for \p cold.
+  stream::Task<void> Announce(
+      std::string id,
+      support::Address target,
+      support::Address relay,
+      std::shared_ptr<const bool> finished,
+      std::chrono::milliseconds cold = std::chrono::milliseconds(0)) {
     constexpr std::chrono::milliseconds kHeartbeat{300};
+    const support::SteadyClock clock;
+    const support::TimePoint warm_at = clock.Now() + cold;
     stream::ConnectionPool pool(context_, {});
     for (int sequence = 1; !*finished; ++sequence) {
-      const nlohmann::json body = {
-          {"addr", target.ToString()},
-          {"info", {{"service", "s1"}, {"slots", 20}}},
-          {"status",
-           {{"state", "ready"}, {"seq", sequence}, {"coldLeftMs", 0}}}};
+      const auto cold_left = std::max(
+          std::chrono::milliseconds(0),
+          std::chrono::ceil<std::chrono::milliseconds>(warm_at - clock.Now()));
+      const nlohmann::json body = {{"addr", target.ToString()},
+                                   {"info", {{"service", "s1"}, {"slots", 20}}},
+                                   {"status",
+                                    {{"state", "ready"},
+                                     {"seq", sequence},
+                                     {"coldLeftMs", cold_left.count()}}}};
       Answer answer;
       co_await Exchange(pool, relay, stream::http::verb::post,
                         "/yuccastair/Instances.Heartbeat/" + id, body.dump(),
--- a/unittests/platform/whole_restart_test.cc
+++ b/unittests/platform/whole_restart_test.cc
@@ -38,6 +38,10 @@
 constexpr auto kLongestDelay = 1500ms;
 constexpr auto kWindow = 500ms;
 constexpr double kWholeShare = 0.95;
+// Of targets that start again after a loss of power.
+constexpr auto kColdTime = 1000ms;
+constexpr double kColdPerSecond = 20;
+constexpr auto kPowerAway = 500ms;
 
 class WholeRestart : private SystemClient {
  public:
@@ -65,14 +69,12 @@
                              {"apiKeys", {"key1"}},
                              {"ratePerS", 2000},
                              {"burst", 2000}}};
+    document_["services"][0]["coldStartS"] = kColdTime.count() / 1000.0;
+    document_["services"][0]["coldPerS"] = kColdPerSecond;
     Await("a policy", [&] {
       return Post("/yuccastair/Config.Put", document_.dump()) == 200;
     });
-    for (int i = 0; i < kRelays; ++i)
-      asio::co_spawn(context(),
-                     Announce("i-" + std::to_string(i), TargetOf(i).address(),
-                              layout_.TargetCalls(i), finished_),
-                     asio::detached);
+    StartTargets(0ms);
     for (int i = 0; i < kRelays * kCallersOfRelay; ++i)
       asio::co_spawn(context(), Call(i % kRelays), asio::detached);
     AwaitWhole(kLimit);
@@ -87,12 +89,19 @@
   }
 
   /// Ends all processes and starts them again; one control process may have
-  /// lost its disk.
-  void Restart() {
+  /// lost its disk. With a loss of power the targets end too and return cold.
+  void Restart(bool power_lost) {
+    if (power_lost)
+      *targets_ended_ = true;
     for (const auto& process : processes_)
       process->Signal(SIGKILL);
     for (const auto& process : processes_)
       process->Wait();
+    if (power_lost) {
+      // The last heartbeat of a target may still be on its way.
+      RunFor(kPowerAway);
+      StartTargets(kColdTime);
+    }
     const int wiped = Below(2 * SoakLayout::kControls);
     for (int i = 0; i < SoakLayout::kControls; ++i) {
       layout_.ControlSettings(i, false);
@@ -153,10 +162,24 @@
 
   void End() {
     *finished_ = true;
+    *targets_ended_ = true;
     RunFor(200ms);
   }
 
  private:
+  /// Starts new processes of all targets.
+  void StartTargets(milliseconds cold) {
+    targets_ended_ = std::make_shared<bool>(false);
+    ++target_generation_;
+    for (int i = 0; i < kRelays; ++i)
+      asio::co_spawn(context(),
+                     Announce("i-" + std::to_string(i) + "-" +
+                                  std::to_string(target_generation_),
+                              TargetOf(i).address(), layout_.TargetCalls(i),
+                              targets_ended_, cold),
+                     asio::detached);
+  }
+
   int Below(int bound) {
     return static_cast<int>(random_() % static_cast<std::uint64_t>(bound));
   }
@@ -203,22 +226,25 @@
   // When each request ended, and whether it was served.
   std::vector<std::pair<support::TimePoint, bool>> ends_;
   std::uint64_t sent_ = 0;
+  int target_generation_ = 0;
+  // Of the present processes of the targets.
+  std::shared_ptr<bool> targets_ended_;
   std::shared_ptr<bool> finished_ = std::make_shared<bool>(false);
 };
 
-// Guards against a system that does not come back by itself, forgets what it
-// has acknowledged, or uses a zone that is out while it comes back.
-TEST_CASE("service is whole after every process has ended at once") {
+/// Plays the whole system through one fault, for each seed.
+void CheckReturn(bool power_lost) {
   constexpr std::uint64_t kDefaultSeeds = 2;
   for (const std::uint64_t seed : SeedsToRun(kDefaultSeeds)) {
     INFO("again: YUCCASTAIR_SEED=" << seed << " platform_whole_restart_test");
     WholeRestart system(seed);
     system.Begin();
     const std::size_t before = system.RequestsInZoneOut();
-    system.Restart();
+    system.Restart(power_lost);
     const auto took = system.AwaitWhole(kRecoveryTime);
-    std::printf("seed %llu: whole %lld ms after the last start\n",
+    std::printf("seed %llu%s: whole %lld ms after the last start\n",
                 static_cast<unsigned long long>(seed),
+                power_lost ? ", power lost" : "",
                 static_cast<long long>(
                     std::chrono::duration_cast<milliseconds>(took).count()));
     CHECK(system.RequestsInZoneOut() == before);
@@ -227,5 +253,16 @@
   }
 }
 
+// Guards against a system that does not come back by itself, forgets what it
+// has acknowledged, or uses a zone that is out while it comes back.
+TEST_CASE("service is whole after every process has ended at once") {
+  CheckReturn(false);
+}
+
+// Guards against the same where the targets are gone as well and return cold.
+TEST_CASE("service is whole after a loss of all power") {
+  CheckReturn(true);
+}
+
 }  // namespace
 }  // namespace yuccastair
