Judge services without targets by a current view only

ServiceWatch now says nothing while the view is older than 800 ms, and for 1 s after that, in which the others tell their members again.

Tests, failing before: membership_service_watch_test (a control process with an old view), ctl_offline_test.

--- a/include/yuccastair/membership/service_watch.h
+++ b/include/yuccastair/membership/service_watch.h
@@ -3,6 +3,7 @@
 #ifndef YUCCASTAIR_MEMBERSHIP_SERVICE_WATCH_H_
 #define YUCCASTAIR_MEMBERSHIP_SERVICE_WATCH_H_
 
+#include <chrono>
 #include <map>
 #include <set>
 #include <string>
@@ -30,12 +31,20 @@
     support::Duration lasted{};
   };
 
+  /// Services are judged by a view that is not older than this, and has not
+  /// been for a time in which other control processes tell their members again.
+  /// A process that is cut off from them does not hear of their targets.
+  static constexpr std::chrono::milliseconds kOldestView{800};
+  static constexpr std::chrono::milliseconds kViewSettles{1000};
+
   ServiceWatch(const support::Clock& clock, const Registry& registry)
       : clock_(clock), registry_(registry) {}
 
   /// Returns what has changed for \p services since the last call; nothing
-  /// until the registry is complete.
-  std::vector<Change> Check(const std::set<std::string>& services);
+  /// until the registry is complete, and while the view of this process,
+  /// confirmed \p view_age ago, is old.
+  std::vector<Change> Check(const std::set<std::string>& services,
+                            std::chrono::milliseconds view_age);
 
   /// The number of services without a target.
   std::size_t without_target() const { return without_since_.size(); }
@@ -44,6 +53,8 @@
   const support::Clock& clock_;
   const Registry& registry_;
   std::map<std::string, support::TimePoint> without_since_;
+  // When the view was last seen to be old.
+  support::TimePoint view_old_at_;
 };
 
 }  // namespace yuccastair::membership
--- a/lib/control/control.cc
+++ b/lib/control/control.cc
@@ -387,7 +387,8 @@
     std::set<std::string> services;
     for (const auto& service : policy_table_.state().policy().services())
       services.insert(service.name());
-    for (const auto& change : service_watch_.Check(services))
+    for (const auto& change :
+         service_watch_.Check(services, settings_sync_.Age()))
       Report(change);
     without_target_ = service_watch_.without_target();
   }
--- a/lib/ctl/ctl.cc
+++ b/lib/ctl/ctl.cc
@@ -145,7 +145,8 @@
       ParseNumber(arguments.Get("timeout-ms", "5000"), "--timeout-ms");
   std::vector<support::Address> controls;
   // The reference is part of the program, and logs are files.
-  if (command->run != RunReference && command->run != RunExplain)
+  if (command->run != RunReference && command->run != RunExplain &&
+      command->run != RunTimeline)
     controls = ParseControls(arguments.Get("control"));
   ControlClient client(std::move(controls), std::chrono::milliseconds(timeout));
   return command->run(Session(environment, arguments, client));
--- a/lib/membership/service_watch.cc
+++ b/lib/membership/service_watch.cc
@@ -5,9 +5,13 @@
 namespace yuccastair::membership {
 
 std::vector<ServiceWatch::Change> ServiceWatch::Check(
-    const std::set<std::string>& services) {
+    const std::set<std::string>& services,
+    std::chrono::milliseconds view_age) {
   std::vector<Change> changes;
-  if (!registry_.IsComplete())
+  const support::TimePoint now = clock_.Now();
+  if (view_age > kOldestView)
+    view_old_at_ = now;
+  if (!registry_.IsComplete() || now < view_old_at_ + kViewSettles)
     return changes;
   std::erase_if(without_since_, [&](const auto& entry) {
     return !services.contains(entry.first);
@@ -20,11 +24,11 @@
       continue;
     Change change{service, has_target, {}, {}};
     if (has_target) {
-      change.lasted = clock_.Now() - since->second;
+      change.lasted = now - since->second;
       without_since_.erase(since);
     } else {
       change.left_out = registry_.TargetsLeftOut(service);
-      without_since_.emplace(service, clock_.Now());
+      without_since_.emplace(service, now);
     }
     changes.push_back(std::move(change));
   }
--- a/lib/relay/request_counts.cc
+++ b/lib/relay/request_counts.cc
@@ -24,13 +24,18 @@
   nlohmann::json list = nlohmann::json::array();
   for (const auto& [key, counts] : std::exchange(counts_, {})) {
     const auto& [route, service, is_call] = key;
-    list.push_back({{"route", route},
-                    {"service", service},
-                    {"call", is_call},
-                    {"served", counts.served},
-                    {"refused", counts.refused},
-                    {"failed", counts.failed},
-                    {"left", counts.left}});
+    nlohmann::json entry = {{"route", route}, {"service", service}};
+    if (is_call)
+      entry["call"] = true;
+    // Most of them are 0, and a line is written every second.
+    for (const auto& [name, count] : {std::pair{"served", counts.served},
+                                      {"refused", counts.refused},
+                                      {"failed", counts.failed},
+                                      {"left", counts.left}}) {
+      if (count > 0)
+        entry[name] = count;
+    }
+    list.push_back(std::move(entry));
   }
   return list;
 }
--- a/lib/relay/request_counts.h
+++ b/lib/relay/request_counts.h
@@ -22,7 +22,8 @@
   /// says whether a target's own answer was delivered.
   void Count(const RelayCall& call, unsigned status, bool by_target);
 
-  /// Returns the counts as a list of objects and begins anew.
+  /// Returns the counts as a list of objects, without members that are 0 or
+  /// false, and begins anew.
   nlohmann::json Take();
 
  private:
--- a/unittests/membership/service_watch_test.cc
+++ b/unittests/membership/service_watch_test.cc
@@ -10,6 +10,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kExpiry{3000};
+// Age of the view of a control process in touch with the leader.
+constexpr milliseconds kFresh{50};
 
 class Preview {
  public:
@@ -34,7 +36,7 @@
   }
 
   std::vector<ServiceWatch::Change> Check() {
-    return watch_.Check({"preview"});
+    return watch_.Check({"preview"}, kFresh);
   }
 
   support::ManualClock clock_;
@@ -85,16 +87,28 @@
   support::ManualClock clock;
   Registry registry(clock, kExpiry);
   ServiceWatch watch(clock, registry);
-  CHECK(watch.Check({"preview"}).empty());
+  CHECK(watch.Check({"preview"}, kFresh).empty());
   clock.Advance(kExpiry);
-  CHECK(watch.Check({"preview"}).size() == 1);
+  CHECK(watch.Check({"preview"}, kFresh).size() == 1);
+}
+
+// Guards against an alarm for every service by a control process that is cut
+// off and hears of no target.
+TEST_CASE("a control process with an old view tells nothing") {
+  Preview fleet;
+  fleet.registry_.SetZonesOut({"a", "b", "c"});
+  const milliseconds old = ServiceWatch::kOldestView + milliseconds(1);
+  CHECK(fleet.watch_.Check({"preview"}, old).empty());
+  CHECK(fleet.Check().empty());
+  fleet.clock_.Advance(ServiceWatch::kViewSettles);
+  CHECK(fleet.Check().size() == 1);
 }
 
 TEST_CASE("a service that is no longer in the policy is forgotten") {
   Preview fleet;
   fleet.registry_.SetZonesOut({"a", "b", "c"});
   REQUIRE(fleet.Check().size() == 1);
-  CHECK(fleet.watch_.Check({}).empty());
+  CHECK(fleet.watch_.Check({}, kFresh).empty());
   CHECK(fleet.watch_.without_target() == 0);
 }
 
--- a/unittests/relay/request_counts_test.cc
+++ b/unittests/relay/request_counts_test.cc
@@ -34,7 +34,6 @@
   REQUIRE(list.size() == 2);
   CHECK(list[0] == nlohmann::json({{"route", "r"},
                                    {"service", "s"},
-                                   {"call", false},
                                    {"served", 2},
                                    {"refused", 3},
                                    {"failed", 4},
