Attribute calls in the summary lines to the routes that they are made for

Calls are now counted with the route of the request that makes them, and timeline follows them from route to route.

--- a/lib/ctl/timeline.cc
+++ b/lib/ctl/timeline.cc
@@ -55,30 +55,31 @@
   return line.value("event", "") == "relay.summary";
 }
 
-/// Returns for each service the services that are called, directly or further
-/// down, to answer its requests, itself included.
+/// Returns for each route the services that its requests need: its own, and
+/// those of the calls that are made for it, directly or further down.
 std::map<std::string, Services> NeedsOf(const std::vector<Json>& lines) {
   std::map<std::string, Services> needs;
+  // Routes of the calls that the requests of a route make.
+  std::map<std::string, std::set<std::string>> calls;
   for (const Json& line : lines) {
     if (!IsSummary(line))
       continue;
-    const std::string service = line.value("service", "");
-    needs[service].insert(service);
     for (const Json& route : line.value("routes", Json::array())) {
-      const std::string to = route.value("service", "");
-      needs[to].insert(to);
-      if (route.value("call", false))
-        needs[service].insert(to);
+      const std::string name = route.value("route", "");
+      needs[name].insert(route.value("service", ""));
+      calls[route.value("called_by", "")].insert(name);
     }
   }
   bool grown = true;
   while (grown) {
     grown = false;
-    for (auto& [service, needed] : needs) {
-      const Services before = needed;
-      for (const std::string& name : before)
-        needed.insert(needs[name].begin(), needs[name].end());
-      grown |= needed.size() > before.size();
+    for (auto& [route, services] : needs) {
+      const std::size_t before = services.size();
+      for (const std::string& called : calls[route]) {
+        const Services further = needs[called];
+        services.insert(further.begin(), further.end());
+      }
+      grown |= services.size() > before;
     }
   }
   return needs;
@@ -100,9 +101,9 @@
     timeline[{second, line.value("service", "")}].targets[GroupOf(line)].insert(
         line.value("instance", "") + "/" + line.value("availability_zone", ""));
     for (const Json& route : line.value("routes", Json::array())) {
-      if (route.value("call", false))
+      if (route.contains("called_by"))
         continue;
-      for (const std::string& service : needs[route.value("service", "")])
+      for (const std::string& service : needs[route.value("route", "")])
         Add(route, timeline[{second, service}].ends);
     }
   }
--- a/lib/relay/entry.cc
+++ b/lib/relay/entry.cc
@@ -434,7 +434,8 @@
   parts_.metrics.Observe("yuccastair_request_seconds",
                          {{"route", request.call.route}},
                          parts_.clock.Now() - request.began);
-  counts_.Count(request.call, status, reason.empty());
+  counts_.Count(request.call, status, reason.empty(),
+                request.parent ? request.parent->route : "");
   if (request.parent)
     NoteCallEnd(request, status);
   if (reason.empty())
--- a/lib/relay/request_counts.cc
+++ b/lib/relay/request_counts.cc
@@ -8,8 +8,9 @@
 
 void RequestCounts::Count(const RelayCall& call,
                           unsigned status,
-                          bool by_target) {
-  Counts& counts = counts_[{call.route, call.service, call.depth > 1}];
+                          bool by_target,
+                          const std::string& called_by) {
+  Counts& counts = counts_[{call.route, call.service, called_by}];
   if (status == 0)
     ++counts.left;
   else if (by_target && status < 500)
@@ -23,10 +24,10 @@
 nlohmann::json RequestCounts::Take() {
   nlohmann::json list = nlohmann::json::array();
   for (const auto& [key, counts] : std::exchange(counts_, {})) {
-    const auto& [route, service, is_call] = key;
+    const auto& [route, service, called_by] = key;
     nlohmann::json entry = {{"route", route}, {"service", service}};
-    if (is_call)
-      entry["call"] = true;
+    if (!called_by.empty())
+      entry["called_by"] = called_by;
     // Most of them are 0, and a line is written every second.
     for (const auto& [name, count] : {std::pair{"served", counts.served},
                                       {"refused", counts.refused},
--- a/lib/relay/request_counts.h
+++ b/lib/relay/request_counts.h
@@ -13,17 +13,22 @@
 
 namespace yuccastair::relay {
 
-/// Ended requests by route and service since the last Take(). Those of callers
-/// and the calls of the own target are told apart, so that the lines of all
-/// relays show which services a route needs.
+/// Ended requests by route and service since the last Take(). Calls of the own
+/// target are counted for each route whose requests have made them, so that the
+/// lines of all relays show which services a route needs.
 class RequestCounts {
  public:
   /// Counts one request. \p status is 0 if the caller has left; \p by_target
-  /// says whether a target's own answer was delivered.
-  void Count(const RelayCall& call, unsigned status, bool by_target);
+  /// says whether a target's own answer was delivered. \p called_by is the
+  /// route of the request that the own target runs and that has made the call;
+  /// empty for the request of a caller.
+  void Count(const RelayCall& call,
+             unsigned status,
+             bool by_target,
+             const std::string& called_by);
 
   /// Returns the counts as a list of objects, without members that are 0 or
-  /// false, and begins anew.
+  /// empty, and begins anew.
   nlohmann::json Take();
 
  private:
@@ -35,8 +40,8 @@
     // Given up by their callers.
     std::uint64_t left = 0;
   };
-  // Route, service, and whether it is a call of the own target.
-  using Key = std::tuple<std::string, std::string, bool>;
+  // Route, service, and the route that it was called by.
+  using Key = std::tuple<std::string, std::string, std::string>;
 
   std::map<Key, Counts> counts_;
 };
--- a/lib/relay/running_requests.h
+++ b/lib/relay/running_requests.h
@@ -19,6 +19,7 @@
 /// A request that runs on the own target.
 struct RunningRequest {
   std::string id;
+  std::string route;
   support::TimePoint deadline;
   /// When the caller's request began that it belongs to.
   support::TimePoint requested_at;
--- a/lib/relay/target_proxy.cc
+++ b/lib/relay/target_proxy.cc
@@ -282,6 +282,7 @@
   } else {
     auto running = std::make_shared<RunningRequest>(
         RunningRequest{.id = call.request_id,
+                       .route = call.route,
                        .deadline = call.deadline,
                        .requested_at = call.requested_at,
                        .importance = call.importance,
--- a/unittests/relay/request_counts_test.cc
+++ b/unittests/relay/request_counts_test.cc
@@ -7,11 +7,10 @@
 namespace yuccastair::relay {
 namespace {
 
-RelayCall Call(const std::string& route, std::uint32_t depth) {
+RelayCall Call(const std::string& route) {
   RelayCall call;
   call.route = route;
   call.service = "s";
-  call.depth = depth;
   return call;
 }
 
@@ -19,17 +18,17 @@
 // that it has not run.
 TEST_CASE("requests are counted by what their callers got") {
   RequestCounts counts;
-  counts.Count(Call("r", 1), 200, true);
-  counts.Count(Call("r", 1), 404, true);
-  counts.Count(Call("r", 1), 500, true);
-  counts.Count(Call("r", 1), 503, true);
-  counts.Count(Call("r", 1), 503, false);
-  counts.Count(Call("r", 1), 429, false);
-  counts.Count(Call("r", 1), 401, false);
-  counts.Count(Call("r", 1), 502, false);
-  counts.Count(Call("r", 1), 504, false);
-  counts.Count(Call("r", 1), 0, false);
-  counts.Count(Call("r", 2), 200, true);
+  counts.Count(Call("r"), 200, true, "");
+  counts.Count(Call("r"), 404, true, "");
+  counts.Count(Call("r"), 500, true, "");
+  counts.Count(Call("r"), 503, true, "");
+  counts.Count(Call("r"), 503, false, "");
+  counts.Count(Call("r"), 429, false, "");
+  counts.Count(Call("r"), 401, false, "");
+  counts.Count(Call("r"), 502, false, "");
+  counts.Count(Call("r"), 504, false, "");
+  counts.Count(Call("r"), 0, false, "");
+  counts.Count(Call("r"), 200, true, "parent");
   const nlohmann::json list = counts.Take();
   REQUIRE(list.size() == 2);
   CHECK(list[0] == nlohmann::json({{"route", "r"},
@@ -38,7 +37,7 @@
                                    {"refused", 3},
                                    {"failed", 4},
                                    {"left", 1}}));
-  CHECK(list[1]["call"] == true);
+  CHECK(list[1]["called_by"] == "parent");
   CHECK(list[1]["served"] == 1);
   CHECK(counts.Take().empty());
 }
