Keep the tests of the growing share apart from those of waiting routes

With the targets known to the model's callers, the two older tests of an outage no longer played the share that grows again: routes waited and came back at once, so they could not have shown a slower growth. The shared steps are one function, and the new test has a name that says what it plays.

--- a/rig/chain_simulation.h
+++ b/rig/chain_simulation.h
@@ -67,7 +67,7 @@
       for (std::size_t i = 0; i < service.targets; ++i) {
         targets.push_back(std::make_unique<Target>(clock_, service.slots));
         targets.back()->throttle.has_target = [this](const std::string& name) {
-          return HasTarget(std::stoul(name));
+          return !targets_known_ || HasTarget(std::stoul(name));
         };
       }
       services_.push_back(std::move(targets));
@@ -84,6 +84,10 @@
       services_[service][i]->up = i < up;
   }
 
+  /// Callers do not learn that a service has no target, as where its targets
+  /// are there and refuse.
+  void HideTargets() { targets_known_ = false; }
+
   void RunFor(Microseconds time) { events_.RunFor(time); }
 
   bool HasTarget(std::size_t service) const {
@@ -304,6 +308,7 @@
   std::vector<ChainTally> tallies_;
   std::mt19937_64 random_;
   std::vector<std::vector<std::unique_ptr<Target>>> services_;
+  bool targets_known_ = true;
   std::uint64_t next_id_ = 1;
   std::unordered_map<std::uint64_t, Held> waiting_;
 };
--- a/unittests/admission/chain_overload_test.cc
+++ b/unittests/admission/chain_overload_test.cc
@@ -25,6 +25,14 @@
          (LookupCapacity(targets) * static_cast<double>(time.count()));
 }
 
+/// Leaves \p targets of the deep service in use for 20 s, then all of them.
+void PlayShortage(ChainSimulation& simulation, std::size_t targets) {
+  simulation.RunFor(5s);
+  simulation.SetTargetsUp(kDeep, targets);
+  simulation.RunFor(20s);
+  simulation.SetTargetsUp(kDeep, kDeepTargets);
+}
+
 /// Plays some more seconds and checks that nearly all requests are served.
 void CheckWhole(ChainSimulation& simulation) {
   simulation.ResetTallies();
@@ -52,6 +60,7 @@
 // calls.
 TEST_CASE("hardly any request is started while the deep service is away") {
   ChainSimulation simulation = MakeSimulation(1);
+  simulation.HideTargets();
   RunBelowCapacity(simulation, 0, 20s);
   const ChainTally& report = simulation.tally(kReport);
   const ChainTally& order = simulation.tally(kOrder);
@@ -67,10 +76,7 @@
   const std::size_t targets = GENERATE(std::size_t{2}, std::size_t{1});
   const std::size_t front_targets = GENERATE(std::size_t{6}, std::size_t{24});
   ChainSimulation simulation = MakeSimulation(1, front_targets);
-  simulation.RunFor(5s);
-  simulation.SetTargetsUp(kDeep, targets);
-  simulation.RunFor(20s);
-  simulation.SetTargetsUp(kDeep, kDeepTargets);
+  PlayShortage(simulation, targets);
   simulation.RunFor(2s);
   CheckWhole(simulation);
 }
@@ -79,10 +85,8 @@
 TEST_CASE("service is whole within four seconds of the end of an outage") {
   const std::size_t front_targets = GENERATE(std::size_t{6}, std::size_t{24});
   ChainSimulation simulation = MakeSimulation(1, front_targets);
-  simulation.RunFor(5s);
-  simulation.SetTargetsUp(kDeep, 0);
-  simulation.RunFor(20s);
-  simulation.SetTargetsUp(kDeep, kDeepTargets);
+  simulation.HideTargets();
+  PlayShortage(simulation, 0);
   simulation.RunFor(4s);
   CheckWhole(simulation);
 }
@@ -101,13 +105,10 @@
 
 // Guards against requests that stay away from a service that has targets again,
 // because its return is only seen by requests that are started to try it.
-TEST_CASE("service is whole a second after the first target returns") {
+TEST_CASE("service is whole a second after a service has targets again") {
   const std::size_t front_targets = GENERATE(std::size_t{6}, std::size_t{24});
   ChainSimulation simulation = MakeSimulation(1, front_targets);
-  simulation.RunFor(5s);
-  simulation.SetTargetsUp(kDeep, 0);
-  simulation.RunFor(20s);
-  simulation.SetTargetsUp(kDeep, kDeepTargets);
+  PlayShortage(simulation, 0);
   simulation.RunFor(1s);
   CheckWhole(simulation);
 }
