Keep the layout of ctl status for scripts that read it

Cause: the new member services_without_target is longer than all others, and the columns of ctl status are as wide as the longest name. The test is right: scripts read that text. The member is without_target now, and the other lines are as they were before.

Found by ctl_resend_test, which had not been run after; it failed before this change and passes now, as do the other tests of ctl.

--- a/lib/control/control.cc
+++ b/lib/control/control.cc
@@ -211,7 +211,7 @@
     options.metrics = &metrics_;
     options.add_status = [this](nlohmann::json& status) {
       status["nodes"] = registry_.size();
-      status["services_without_target"] = service_watch_.without_target();
+      status["without_target"] = service_watch_.without_target();
     };
     return options;
   }
