--- a/unittests/platform/system_client.h
+++ b/unittests/platform/system_client.h
@@ -4,6 +4,7 @@
 #define YUCCASTAIR_UNITTESTS_PLATFORM_SYSTEM_CLIENT_H_
 
 #include <algorithm>
+#include <catch2/catch.hpp>
 #include <chrono>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -28,6 +29,9 @@
 /// Exchanges on one thread, whose context runs while the test waits.
 class SystemClient {
  public:
+  /// Enough for a condition on a machine as busy as may be.
+  static constexpr std::chrono::seconds kAwaitLimit{30};
+
   stream::asio::io_context& context() { return context_; }
 
   void RunFor(support::Duration time) {
@@ -35,6 +39,19 @@
     context_.run_for(time);
   }
 
+  /// Waits until \p condition is true, and fails the test if it does not become
+  /// so within kAwaitLimit. \p what names it.
+  template <typename Condition>
+  void Await(const std::string& what, Condition condition) {
+    const support::SteadyClock clock;
+    const auto end = clock.Now() + kAwaitLimit;
+    while (!condition()) {
+      if (clock.Now() > end)
+        FAIL(what << " did not come about");
+      RunFor(std::chrono::milliseconds(20));
+    }
+  }
+
   stream::Task<void> Pause(support::Duration time) {
     stream::asio::steady_timer timer(context_);
     timer.expires_after(time);
--- a/unittests/platform/whole_restart_test.cc
+++ b/unittests/platform/whole_restart_test.cc
@@ -31,8 +31,6 @@
 constexpr int kRelays = 3;
 constexpr int kCallersOfRelay = 4;
 constexpr auto kCallPause = 25ms;
-// Conditions before the fault, on a machine as busy as may be.
-constexpr auto kLimit = 30s;
 // Service is to be whole this long after all processes are back.
 constexpr auto kRecoveryTime = 15s;
 constexpr auto kLongestDelay = 1500ms;
@@ -77,7 +75,7 @@
     StartTargets(0ms);
     for (int i = 0; i < kRelays * kCallersOfRelay; ++i)
       asio::co_spawn(context(), Call(i % kRelays), asio::detached);
-    AwaitWhole(kLimit);
+    AwaitWhole(kAwaitLimit);
     Await("the evacuation",
           [&] { return Post("/yuccastair/Evacuations.Start/z0") == 200; });
     Await("a quiet target in z0", [&] {
@@ -85,7 +83,7 @@
       RunFor(kWindow);
       return TargetOf(0).requests().size() == before;
     });
-    AwaitWhole(kLimit);
+    AwaitWhole(kAwaitLimit);
   }
 
   /// Ends all processes and starts them again; one control process may have
@@ -194,16 +192,6 @@
         .status;
   }
 
-  template <typename Condition>
-  void Await(const std::string& what, Condition condition) {
-    const auto end = clock_.Now() + kLimit;
-    while (!condition()) {
-      if (clock_.Now() > end)
-        FAIL(what << " did not come about");
-      RunFor(20ms);
-    }
-  }
-
   Task<void> Call(int relay) {
     stream::ConnectionPool pool(context(), {});
     while (!*finished_) {
--- a/unittests/platform/without_target_test.cc
+++ b/unittests/platform/without_target_test.cc
@@ -19,11 +19,11 @@
 namespace http = stream::http;
 
 constexpr int kRelays = 2;
-// Conditions on a machine as busy as may be.
-constexpr auto kLimit = 30s;
 
 class ZonesTakenOut : private SystemClient {
  public:
+  using SystemClient::Await;
+
   ZonesTakenOut() : layout_(SoakLayout::kWithoutTargetPorts, 0) {
     for (int i = 0; i < SoakLayout::kControls; ++i)
       processes_.push_back(
@@ -81,18 +81,7 @@
         .value("zones_out", nlohmann::json());
   }
 
-  template <typename Condition>
-  void Await(const std::string& what, Condition condition) {
-    const auto end = clock_.Now() + kLimit;
-    while (!condition()) {
-      if (clock_.Now() > end)
-        FAIL(what << " did not come about");
-      RunFor(20ms);
-    }
-  }
-
  private:
-  const support::SteadyClock clock_;
   const SoakLayout layout_;
   std::vector<std::unique_ptr<relay::ScriptedTarget>> targets_;
   std::vector<std::unique_ptr<Process>> processes_;
