Start each weighted sequence at a random choice of its period

Cause: each relay started the current weights of a route at independent random values and added the weights before its first choice, so the share with the smaller weight was never the first choice of a relay.

Change: the sequence starts after a random number of choices below its period, which gives each single choice the probability of its weight.

--- a/lib/relay/weighted_round_robin.h
+++ b/lib/relay/weighted_round_robin.h
@@ -13,9 +13,11 @@
 
 namespace yuccastair::relay {
 
-/// Smooth weighted round robin: over any sequence of requests, each service
-/// gets its share to within one request. The initial state is random, so that
-/// the relays do not all send their first requests to the same service.
+/// Smooth weighted round robin: over any sequence of requests, each of two
+/// services gets its share to within one request. The sequence starts at a
+/// random choice of its period, so that each single choice, the first included,
+/// has the probability of its weight. Many relays with few requests each
+/// therefore keep the shares together, also after restarts.
 class WeightedRoundRobin {
  public:
   using RandomBelow = std::function<std::uint32_t(std::uint32_t bound)>;
@@ -32,8 +34,7 @@
 
  private:
   const RandomBelow random_below_;
-  // Current weight of each share, by route. Their sum stays below the sum of
-  // the configured weights.
+  // Current weight of each share, by route. Their sum is 0 between two choices.
   std::unordered_map<std::string, std::vector<std::int64_t>> current_weights_;
 };
 
