Send no more calls to a cold target than it starts in time

Cause: a target in a cold start is bound by its start rate, but it reported its full concurrency limit. Relays of its zone took it for nearly idle, and the calls waited in its queue until their queue time was over, while other zones had free slots. Ruled out: a shortage in the service, whose other targets were at a load of 3 of 28.

Change: while the start rate binds, the reported limit is the concurrency that this rate sustains (rate times mean service time), and a call that cannot start within its queue time is rejected at once, so that its sender can offer it to another target. More important calls still displace others.

--- a/include/yuccastair/admission/admission.h
+++ b/include/yuccastair/admission/admission.h
@@ -32,6 +32,7 @@
   kQueueFull,
   kDisplaced,
   kQueueTimeout,
+  kStartRateExceeded,
   kStopping,
 };
 
@@ -119,6 +120,10 @@
   /// The current concurrency limit, including the cap of the cold ramp.
   std::uint32_t limit() const;
   bool cold() const { return ramp_.active() || IsStartRateBound(); }
+  /// Returns the load that other nodes base their choice of a target on. While
+  /// the start rate binds, the reported limit is the concurrency that this rate
+  /// sustains, so that a cold target counts as full once it runs that many
+  /// calls.
   wire::LoadReport Load() const;
 
   /// Returns a service time that most calls of \p route reach or exceed; zero
@@ -146,6 +151,12 @@
   bool IsRejectedByState(Reason& reason) const;
   bool IsRejectedByDeadline(const Call& call, Reason& reason) const;
   bool IsStartRateBound() const { return clock_.Now() < cold_until_; }
+  bool HasStartRate() const {
+    return IsStartRateBound() && options_.cold.max_starts_per_second > 0;
+  }
+  std::uint32_t ReportedLimit() const;
+  /// Returns the number of queued calls at which \p call is not queued.
+  std::size_t MaxQueueSize(const Call& call);
   bool CanStartCall();
   std::optional<Call> PopNextCall();
   void Run(const Call& call, Decisions& decisions);
@@ -166,6 +177,8 @@
   // Number of running calls that are callers' requests.
   std::uint32_t running_new_work_ = 0;
   std::unordered_map<std::string, ServiceTime> service_times_;
+  // Smoothed mean over the calls of all routes; zero before the first one ends.
+  support::Duration mean_service_time_{};
   wire::TargetState state_ = wire::TARGET_STATE_DOWN;
   std::string incarnation_;
   bool zone_out_ = false;
--- a/include/yuccastair/admission/start_rate_limiter.h
+++ b/include/yuccastair/admission/start_rate_limiter.h
@@ -37,6 +37,14 @@
     return tokens_ >= 1;
   }
 
+  /// Returns the number of calls that can start from \p now until \p wait has
+  /// passed.
+  double StartsWithin(support::TimePoint now, support::Duration wait) {
+    Refill(now);
+    const std::chrono::duration<double> seconds = wait;
+    return std::max(0.0, tokens_ + seconds.count() * per_second_);
+  }
+
   void TakeToken(support::TimePoint now) {
     Refill(now);
     tokens_ -= 1;
--- a/lib/admission/admission.cc
+++ b/lib/admission/admission.cc
@@ -15,6 +15,10 @@
 constexpr std::chrono::seconds kServiceTimeValidity{1};
 constexpr double kServiceTimeMeanWeight = 1.0 / 8;
 constexpr double kServiceTimeDeviationWeight = 1.0 / 4;
+// Assumed service time of a cold target before its first call has ended.
+constexpr milliseconds kDefaultServiceTime{100};
+// Longest time between two calls of Tick(), which starts queued calls.
+constexpr milliseconds kTickInterval{10};
 // When a process exits, all of its exchanges fail at once; a single exchange
 // may fail for an unrelated reason.
 constexpr std::uint32_t kFailuresIndicatingRestart = 3;
@@ -49,6 +53,8 @@
       return "displaced from the queue by another call";
     case Reason::kQueueTimeout:
       return "no slot became free within the queue timeout";
+    case Reason::kStartRateExceeded:
+      return "the target is cold and can start no more calls in time";
     case Reason::kStopping:
       return "the node is stopping";
   }
@@ -79,8 +85,20 @@
 bool Admission::CanStartCall() {
   if (running() >= limit())
     return false;
-  return !IsStartRateBound() || options_.cold.max_starts_per_second <= 0 ||
-         start_rate_limiter_.HasToken(clock_.Now());
+  return !HasStartRate() || start_rate_limiter_.HasToken(clock_.Now());
+}
+
+// A call that the start rate keeps in the queue until its time is over loses
+// the time in which another target could have taken it.
+std::size_t Admission::MaxQueueSize(const Call& call) {
+  const support::TimePoint now = clock_.Now();
+  const support::TimePoint until =
+      std::min({call.queue_until, call.deadline, now + options_.queue.timeout});
+  if (!HasStartRate() || until >= cold_until_)
+    return options_.queue.max;
+  const double starts =
+      start_rate_limiter_.StartsWithin(now, until - kTickInterval - now);
+  return std::min(options_.queue.max, static_cast<std::size_t>(starts));
 }
 
 void Admission::SetTarget(wire::TargetState state,
@@ -109,11 +127,23 @@
   return ramp_.Cap(limit_.limit());
 }
 
+std::uint32_t Admission::ReportedLimit() const {
+  if (!HasStartRate())
+    return limit();
+  const std::chrono::duration<double> service_time =
+      mean_service_time_.count() > 0 ? mean_service_time_ : kDefaultServiceTime;
+  const double sustained =
+      options_.cold.max_starts_per_second * service_time.count();
+  return std::clamp<std::uint32_t>(
+      static_cast<std::uint32_t>(std::min(sustained, 1e9)), 1,
+      std::max<std::uint32_t>(limit(), 1));
+}
+
 wire::LoadReport Admission::Load() const {
   wire::LoadReport load;
   load.set_running(running());
   load.set_queued(static_cast<std::uint32_t>(queue_.size()));
-  load.set_limit(limit());
+  load.set_limit(ReportedLimit());
   wire::TargetState state = state_;
   if (state == wire::TARGET_STATE_UP && cold())
     state = wire::TARGET_STATE_COLD;
@@ -135,11 +165,13 @@
     Run(call, decisions);
     return;
   }
-  if (queue_.size() >= options_.queue.max) {
+  if (queue_.size() >= MaxQueueSize(call)) {
     const auto displaced = queue_.DisplaceFor(call);
     if (!displaced) {
-      decisions.push_back(
-          MakeDecision(call, Verdict::kReject, Reason::kQueueFull));
+      decisions.push_back(MakeDecision(call, Verdict::kReject,
+                                       queue_.size() < options_.queue.max
+                                           ? Reason::kStartRateExceeded
+                                           : Reason::kQueueFull));
       return;
     }
     decisions.push_back(
@@ -304,6 +336,12 @@
 
 void Admission::RecordServiceTime(const std::string& route,
                                   support::Duration latency) {
+  mean_service_time_ =
+      mean_service_time_.count() == 0
+          ? latency
+          : mean_service_time_ +
+                std::chrono::duration_cast<support::Duration>(
+                    kServiceTimeMeanWeight * (latency - mean_service_time_));
   if (service_times_.size() >= kMaxTrackedRoutes &&
       !service_times_.contains(route))
     return;
--- a/unittests/admission/start_rate_test.cc
+++ b/unittests/admission/start_rate_test.cc
@@ -98,5 +98,98 @@
   CHECK(decisions[0].reason == Reason::kQueueTimeout);
 }
 
+// Guards against calls that wait in vain at a cold target while other targets
+// of the service have free slots.
+TEST_CASE(
+    "a call that a cold target cannot start in time is rejected at once") {
+  support::ManualClock clock;
+  Admission admission(clock, ColdOptionsOf(200));
+  Admission::Decisions decisions;
+  admission.SetTarget(wire::TARGET_STATE_UP, "one", decisions);
+  admission.SetColdUntil(clock.Now() + 5s);
+  Call call;
+  call.deadline = clock.Now() + 60s;
+  call.queue_until = clock.Now() + 110ms;
+  // At 33 starts per second three calls start within 100 ms.
+  std::vector<Reason> reasons;
+  for (call.id = 1; call.id <= 5; ++call.id) {
+    decisions.clear();
+    admission.Arrive(call, decisions);
+    REQUIRE(decisions.size() == 1);
+    reasons.push_back(decisions[0].reason);
+  }
+  CHECK(reasons == std::vector<Reason>{
+                       Reason::kQueued, Reason::kQueued, Reason::kQueued,
+                       Reason::kStartRateExceeded, Reason::kStartRateExceeded});
+  decisions.clear();
+  for (int i = 0; i < 10; ++i) {
+    clock.Advance(10ms);
+    admission.Tick(decisions);
+  }
+  CHECK(admission.running() == 3);
+  CHECK(admission.queued() == 0);
+}
+
+TEST_CASE("a more important call displaces another at a cold target") {
+  support::ManualClock clock;
+  Admission admission(clock, ColdOptionsOf(200));
+  Admission::Decisions decisions;
+  admission.SetTarget(wire::TARGET_STATE_UP, "one", decisions);
+  admission.SetColdUntil(clock.Now() + 5s);
+  Call call;
+  call.id = 1;
+  call.importance = wire::IMPORTANCE_LOW;
+  call.deadline = clock.Now() + 60s;
+  call.queue_until = clock.Now() + 50ms;
+  admission.Arrive(call, decisions);
+  call.id = 2;
+  call.importance = wire::IMPORTANCE_CRITICAL;
+  decisions.clear();
+  admission.Arrive(call, decisions);
+  REQUIRE(decisions.size() == 2);
+  CHECK(decisions[0].id == 1);
+  CHECK(decisions[0].reason == Reason::kDisplaced);
+  CHECK(decisions[1].id == 2);
+  CHECK(decisions[1].verdict == Verdict::kWait);
+}
+
+TEST_CASE("a call that can wait until the cold time is over is queued") {
+  support::ManualClock clock;
+  Admission admission(clock, ColdOptionsOf(200));
+  Admission::Decisions decisions;
+  admission.SetTarget(wire::TARGET_STATE_UP, "one", decisions);
+  admission.SetColdUntil(clock.Now() + 50ms);
+  Call call;
+  call.deadline = clock.Now() + 60s;
+  call.queue_until = clock.Now() + 100ms;
+  for (call.id = 1; call.id <= 20; ++call.id)
+    admission.Arrive(call, decisions);
+  CHECK(admission.queued() == 20);
+  clock.Advance(50ms);
+  admission.Tick(decisions);
+  CHECK(admission.running() == 20);
+}
+
+TEST_CASE(
+    "a cold target reports the concurrency that its start rate sustains") {
+  support::ManualClock clock;
+  Admission admission(clock, ColdOptionsOf(200));
+  Admission::Decisions decisions;
+  admission.SetTarget(wire::TARGET_STATE_UP, "one", decisions);
+  Call call;
+  call.deadline = clock.Now() + 600s;
+  for (call.id = 1; call.id <= 100; ++call.id) {
+    admission.Arrive(call, decisions);
+    clock.Advance(200ms);
+    admission.Finish(call.id, ExchangeOutcome::kComplete, decisions);
+  }
+  CHECK(admission.Load().limit() == 200);
+  admission.SetColdUntil(clock.Now() + 5s);
+  CHECK(admission.Load().state() == wire::TARGET_STATE_COLD);
+  CHECK(admission.Load().limit() == 6);
+  clock.Advance(5s);
+  CHECK(admission.Load().limit() == 200);
+}
+
 }  // namespace
 }  // namespace yuccastair::admission
