Sync with a control process of the relay's own zone

Cause: a relay stayed with the first control process that answered, so the three seeds carried the syncs of the whole fleet, most of them from another zone, and nothing moved back after a failure. A stale reply was applied over a newer view, so a control process that is cut off could bring back targets that had left.

Change: control processes tell each other and the relays their zones. A relay prefers its own zone, then rendezvous hashing, moves to its first choice when it is known and returns to it at a random time after a failure, at doubled pauses while it is down (ControlSelector, without a network). A view that is older than the one applied is not applied. Messages and bytes to other processes are counted by purpose and by whether they cross a zone.

--- a/include/yuccastair/routing/router.h
+++ b/include/yuccastair/routing/router.h
@@ -35,6 +35,7 @@
 struct Choice {
   std::string node_id;
   std::string address;
+  std::string availability_zone;
   /// The attempt is a half-open probe of an ejected target.
   bool probe = false;
   /// The values on which the choice is based: the number of eligible targets,
--- a/lib/control/control.cc
+++ b/lib/control/control.cc
@@ -179,6 +179,7 @@
 
   SyncService::Options MakeSyncOptions() {
     SyncService::Options options;
+    options.availability_zone = settings_.availability_zone;
     for (const support::Address& peer : settings_.peers) {
       if (peer != settings_.peer_listen)
         options.peers.push_back(peer.ToString());
@@ -197,8 +198,12 @@
       fingerprint_table_.FillUpdate(sync.fingerprint_version(),
                                     *reply.mutable_fingerprints());
       policy_request_service_.FillReply(sync, reply);
-      for (const std::string& address : log_.ControlAddresses())
+      for (const std::string& address : log_.ControlAddresses()) {
         reply.add_control_addresses(address);
+        reply.add_control_zones(address == settings_.peer_listen.ToString()
+                                    ? settings_.availability_zone
+                                    : sync_service_.ZoneOf(address));
+      }
     };
     return options;
   }
--- a/lib/control/sync_service.cc
+++ b/lib/control/sync_service.cc
@@ -33,6 +33,18 @@
   return reply;
 }
 
+wire::MembershipDelta SyncService::HandlePull(
+    const wire::MembershipPull& pull) const {
+  wire::MembershipDelta delta = registry_.HandlePull(pull);
+  delta.set_availability_zone(options_.availability_zone);
+  return delta;
+}
+
+std::string SyncService::ZoneOf(const std::string& peer) const {
+  const auto found = peers_.find(peer);
+  return found == peers_.end() ? "" : found->second.availability_zone;
+}
+
 void SyncService::SendPull(const std::string& name, Peer& peer) {
   peer.pull_correlation = next_correlation_++;
   peer.pulled_at = clock_.Now();
@@ -48,6 +60,7 @@
     return;
   // A second reply to the same pull is ignored.
   found->second.pull_correlation = 0;
+  found->second.availability_zone = delta.availability_zone();
   if (registry_.ApplyDelta(name, delta))
     SendPull(name, found->second);
 }
--- a/lib/control/sync_service.h
+++ b/lib/control/sync_service.h
@@ -24,6 +24,8 @@
   static constexpr std::chrono::milliseconds kPullInterval{200};
 
   struct Options {
+    /// Availability zone of this control process.
+    std::string availability_zone;
     /// Addresses of the other control processes.
     std::vector<std::string> peers;
     /// Sends a pull. Its reply is passed to HandleDelta() with the same
@@ -41,9 +43,7 @@
               const support::Clock& clock);
 
   wire::SyncReply HandleSync(const wire::SyncRequest& request);
-  wire::MembershipDelta HandlePull(const wire::MembershipPull& pull) const {
-    return registry_.HandlePull(pull);
-  }
+  wire::MembershipDelta HandlePull(const wire::MembershipPull& pull) const;
 
   /// Applies the reply to the latest pull. A reply to an earlier pull is
   /// ignored.
@@ -51,6 +51,10 @@
                    std::uint64_t correlation,
                    const wire::MembershipDelta& delta);
 
+  /// Returns the availability zone of another control process; empty until its
+  /// first reply.
+  std::string ZoneOf(const std::string& peer) const;
+
   /// Replaces the control processes to pull membership from.
   void SetPeers(const std::vector<std::string>& peers);
 
@@ -61,6 +65,7 @@
   struct Peer {
     std::uint64_t pull_correlation = 0;
     support::TimePoint pulled_at;
+    std::string availability_zone;
   };
 
   void SendPull(const std::string& name, Peer& peer);
--- a/lib/relay/control_link.cc
+++ b/lib/relay/control_link.cc
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "yuccastair/membership/control_order.h"
+#include "yuccastair/support/id.h"
 #include "yuccastair/support/log.h"
 
 namespace yuccastair::relay {
@@ -25,58 +25,44 @@
 ControlLink::ControlLink(stream::asio::io_context& context,
                          const support::Clock& clock,
                          observe::Metrics& metrics,
+                         TrafficCounts& traffic,
                          Options options)
     : context_(context),
       clock_(clock),
       metrics_(metrics),
+      traffic_(traffic),
       options_(std::move(options)),
+      selector_(clock,
+                options_.node_id,
+                options_.availability_zone,
+                options_.seeds,
+                support::RandomBelow),
       reply_timer_(context),
       interval_timer_(context),
-      transport_({},
-                 {.on_request = nullptr,
-                  .on_answer =
-                      [this](const std::string&, wire::Envelope envelope) {
-                        stream::asio::post(
-                            context_,
-                            [this, envelope = std::move(envelope)]() mutable {
-                              OnMessage(std::move(envelope));
-                            });
-                      },
-                  .on_undelivered =
-                      [this](const std::string&, wire::Envelope envelope) {
-                        stream::asio::post(
-                            context_, [this, envelope = std::move(envelope)] {
-                              OnUndelivered(envelope);
-                            });
-                      },
-                  .on_tick = nullptr}) {
-  UpdateOrder();
+      transport_(
+          {},
+          {.on_request = nullptr,
+           .on_answer =
+               [this](const std::string& address, wire::Envelope envelope) {
+                 stream::asio::post(
+                     context_,
+                     [this, address, envelope = std::move(envelope)]() mutable {
+                       OnMessage(address, std::move(envelope));
+                     });
+               },
+           .on_undelivered =
+               [this](const std::string&, wire::Envelope envelope) {
+                 stream::asio::post(context_,
+                                    [this, envelope = std::move(envelope)] {
+                                      OnUndelivered(envelope);
+                                    });
+               },
+           .on_tick = nullptr}) {
   stream::asio::co_spawn(context_, Run(), stream::asio::detached);
 }
 
-/// Orders the reported addresses before the seeds. The seeds may be obsolete,
-/// but they are the only way to reconnect if all reported control processes
-/// have been replaced.
-void ControlLink::UpdateOrder() {
-  const std::string asked =
-      addresses_.empty() ? "" : addresses_[address_index_];
-  addresses_ =
-      membership::OrderControlsForNode(reported_addresses_, options_.node_id);
-  for (const std::string& seed :
-       membership::OrderControlsForNode(options_.seeds, options_.node_id)) {
-    if (std::find(addresses_.begin(), addresses_.end(), seed) ==
-        addresses_.end())
-      addresses_.push_back(seed);
-  }
-  const auto found = std::find(addresses_.begin(), addresses_.end(), asked);
-  address_index_ = found == addresses_.end()
-                       ? 0
-                       : static_cast<std::size_t>(found - addresses_.begin());
-}
-
 void ControlLink::SetSeeds(std::vector<std::string> seeds) {
-  options_.seeds = std::move(seeds);
-  UpdateOrder();
+  selector_.SetSeeds(std::move(seeds));
 }
 
 void ControlLink::SyncNow() {
@@ -89,10 +75,24 @@
     return;
   wire::Envelope envelope;
   *envelope.mutable_rate_request() = request;
-  transport_.Send(leader_, std::move(envelope));
+  Send(leader_, std::move(envelope));
+}
+
+void ControlLink::Send(const std::string& address, wire::Envelope envelope) {
+  RecordTraffic(address, envelope);
+  transport_.Send(address, std::move(envelope));
+}
+
+void ControlLink::RecordTraffic(const std::string& address,
+                                const wire::Envelope& envelope) {
+  const bool rates = envelope.has_rate_request() || envelope.has_rate_grant();
+  traffic_.Record(rates ? "rates" : "sync", selector_.ZoneOf(address),
+                  envelope.ByteSizeLong());
 }
 
-void ControlLink::OnMessage(wire::Envelope envelope) {
+void ControlLink::OnMessage(const std::string& address,
+                            wire::Envelope envelope) {
+  RecordTraffic(address, envelope);
   if (envelope.has_rate_grant()) {
     const wire::RateGrant& grant = envelope.rate_grant();
     if (grant.not_leader())
@@ -129,11 +129,17 @@
 
 stream::Task<void> ControlLink::Run() {
   while (true) {
-    if (!addresses_.empty()) {
-      const SyncResult end = co_await SyncOnce();
-      // Tries the next control process at once until all of them have failed.
-      if (end != SyncResult::kCurrent && SwitchToNext(end))
+    if (!selector_.empty()) {
+      const SyncResult end = co_await SyncOnce(selector_.in_use());
+      if (end == SyncResult::kCurrent) {
+        selector_.OnSuccess();
+        const bool sync_again = co_await TryReturn();
+        if (sync_again)
+          continue;
+      } else if (SwitchToNext(end)) {
+        // Tries the next control process at once until all of them have failed.
         continue;
+      }
     }
     if (!std::exchange(sync_requested_, false)) {
       interval_timer_.expires_after(kSyncInterval);
@@ -143,19 +149,30 @@
   }
 }
 
-/// Switches to the next control process. Once all known ones have failed, all
-/// of them may have changed their addresses, so the seeds are reloaded. Returns
-/// whether there is one that has not been tried in this round.
+stream::Task<bool> ControlLink::TryReturn() {
+  const auto candidate = selector_.ReturnCandidate();
+  if (!candidate)
+    co_return false;
+  const support::TimePoint began = clock_.Now();
+  const SyncResult end = co_await SyncOnce(*candidate);
+  const bool current = end == SyncResult::kCurrent;
+  support::LogInfo("control.return",
+                   {{"control", *candidate}, {"result", ToString(end)}});
+  selector_.OnReturnAttempt(*candidate, current);
+  // The time without a reply replaces the pause between two syncs.
+  co_return !current && clock_.Now() - began >= kReplyTimeout / 2;
+}
+
 bool ControlLink::SwitchToNext(SyncResult end) {
   synchronised_ = false;
   // The seeds may have been replaced while the reply was awaited.
-  if (addresses_.empty())
+  if (selector_.empty())
     return false;
   const std::string reason = ToString(end);
   metrics_.Count("yuccastair_control_lost_total", {{"reason", reason}});
-  nlohmann::json fields = {{"control", addresses_[address_index_]},
+  nlohmann::json fields = {{"control", selector_.in_use()},
                            {"reason", reason},
-                           {"known", addresses_.size()}};
+                           {"known", selector_.size()}};
   if (current_as_of_ != support::TimePoint())
     fields["age_ms"] =
         std::chrono::duration_cast<milliseconds>(clock_.Now() - current_as_of_)
@@ -163,16 +180,16 @@
   if (end == SyncResult::kStaleView)
     fields["view_age_ms"] = reply_->age_ms();
   support::LogWarning("control.lost", fields);
-  address_index_ = (address_index_ + 1) % addresses_.size();
-  if (++failures_in_round_ < addresses_.size())
+  if (selector_.OnFailure())
     return true;
-  failures_in_round_ = 0;
+  // All known control processes may have changed their addresses.
   if (options_.reload_seeds)
     options_.reload_seeds();
   return false;
 }
 
-stream::Task<ControlLink::SyncResult> ControlLink::SyncOnce() {
+stream::Task<ControlLink::SyncResult> ControlLink::SyncOnce(
+    std::string address) {
   wire::Envelope envelope;
   options_.fill_request(*envelope.mutable_sync_request());
   awaited_correlation_ = next_correlation_++;
@@ -181,51 +198,44 @@
   undelivered_ = false;
   const support::TimePoint sent_at = clock_.Now();
   reply_timer_.expires_after(kReplyTimeout);
-  transport_.Send(addresses_[address_index_], std::move(envelope));
+  Send(address, std::move(envelope));
   co_await reply_timer_.async_wait(stream::kAsTuple);
   awaited_correlation_ = 0;
   if (!reply_)
     co_return undelivered_ ? SyncResult::kNotConnected : SyncResult::kNoReply;
   const milliseconds age(reply_->age_ms());
-  options_.apply_reply(*reply_);
-  if (!reply_->leader_address().empty())
-    leader_ = reply_->leader_address();
   const bool current = age <= kMaxViewAge;
-  UpdateAddresses(
-      {reply_->control_addresses().begin(), reply_->control_addresses().end()},
-      current);
+  // A control process that is cut off from the others still lists targets that
+  // have left since.
+  if (current || sent_at - age >= current_as_of_) {
+    options_.apply_reply(*reply_);
+    if (!reply_->leader_address().empty())
+      leader_ = reply_->leader_address();
+  }
+  std::vector<ReportedControl> reported;
+  reported.reserve(static_cast<std::size_t>(reply_->control_addresses_size()));
+  for (int i = 0; i < reply_->control_addresses_size(); ++i)
+    reported.push_back(
+        {reply_->control_addresses(i), i < reply_->control_zones_size()
+                                           ? reply_->control_zones(i)
+                                           : std::string()});
+  selector_.SetReported(std::move(reported), current);
   if (!current)
     co_return SyncResult::kStaleView;
-  OnCurrentView(sent_at - age);
+  OnCurrentView(address, sent_at - age);
   co_return SyncResult::kCurrent;
 }
 
-/// Updates the known control processes. A stale view may lack some of them, so
-/// it only adds addresses.
-void ControlLink::UpdateAddresses(std::vector<std::string> reported,
-                                  bool current) {
-  if (!current) {
-    for (const std::string& known : reported_addresses_) {
-      if (std::find(reported.begin(), reported.end(), known) == reported.end())
-        reported.push_back(known);
-    }
-  }
-  if (reported.empty() || reported == reported_addresses_)
-    return;
-  reported_addresses_ = std::move(reported);
-  UpdateOrder();
-}
-
-void ControlLink::OnCurrentView(support::TimePoint as_of) {
+void ControlLink::OnCurrentView(const std::string& address,
+                                support::TimePoint as_of) {
   if (!std::exchange(synchronised_, true)) {
-    nlohmann::json fields = {{"control", addresses_[address_index_]}};
+    nlohmann::json fields = {{"control", address}};
     if (current_as_of_ != support::TimePoint())
       fields["away_ms"] =
           std::chrono::duration_cast<milliseconds>(as_of - current_as_of_)
               .count();
     support::LogInfo("control.found", fields);
   }
-  failures_in_round_ = 0;
   current_as_of_ = std::max(current_as_of_, as_of);
 }
 
--- a/lib/relay/control_link.h
+++ b/lib/relay/control_link.h
@@ -11,7 +11,9 @@
 #include <string>
 #include <vector>
 
+#include "control_selector.h"
 #include "envelope.pb.h"
+#include "traffic_counts.h"
 #include "yuccastair/observe/metrics.h"
 #include "yuccastair/stream/types.h"
 #include "yuccastair/support/clock.h"
@@ -27,6 +29,7 @@
   struct Options {
     std::vector<std::string> seeds;
     std::string node_id;
+    std::string availability_zone;
     std::function<void(wire::SyncRequest&)> fill_request;
     std::function<void(const wire::SyncReply&)> apply_reply;
     std::function<void(const wire::RateGrant&)> apply_grant;
@@ -38,6 +41,7 @@
   ControlLink(stream::asio::io_context& context,
               const support::Clock& clock,
               observe::Metrics& metrics,
+              TrafficCounts& traffic,
               Options options);
 
   /// Starts the next sync now instead of at the end of the interval.
@@ -61,25 +65,27 @@
   };
 
   static const char* ToString(SyncResult end);
-  void OnMessage(wire::Envelope envelope);
+  void Send(const std::string& address, wire::Envelope envelope);
+  void OnMessage(const std::string& address, wire::Envelope envelope);
+  void RecordTraffic(const std::string& address,
+                     const wire::Envelope& envelope);
   void OnUndelivered(const wire::Envelope& envelope);
   stream::Task<void> Run();
-  stream::Task<SyncResult> SyncOnce();
-  void UpdateAddresses(std::vector<std::string> reported, bool current);
-  void OnCurrentView(support::TimePoint as_of);
+  stream::Task<SyncResult> SyncOnce(std::string address);
+  /// Syncs with the first choice if it is due to be used again. Returns whether
+  /// the next sync must follow at once.
+  stream::Task<bool> TryReturn();
+  void OnCurrentView(const std::string& address, support::TimePoint as_of);
+  /// Switches to the next control process. Returns whether there is one that
+  /// has not been tried in this round.
   bool SwitchToNext(SyncResult end);
-  void UpdateOrder();
 
   stream::asio::io_context& context_;
   const support::Clock& clock_;
   observe::Metrics& metrics_;
+  TrafficCounts& traffic_;
   Options options_;
-  // Addresses that the control processes reported; empty before the first sync.
-  std::vector<std::string> reported_addresses_;
-  // Addresses in the order of preference, and the index of the one in use.
-  std::vector<std::string> addresses_;
-  std::size_t address_index_ = 0;
-  std::size_t failures_in_round_ = 0;
+  ControlSelector selector_;
   std::string leader_;
   std::uint64_t next_correlation_ = 1;
   std::uint64_t awaited_correlation_ = 0;
--- a/lib/relay/relay.cc
+++ b/lib/relay/relay.cc
@@ -69,9 +69,10 @@
                       [this](const wire::RateRequest& request) {
                         control_link_.SendRateRequest(request);
                       }),
-        control_link_(context_, clock_, metrics_, LinkOptions()),
+        traffic_(metrics_, settings_.availability_zone),
+        control_link_(context_, clock_, metrics_, traffic_, LinkOptions()),
         request_handler_({clock_, adapter_.headers, fleet_, target_proxy_,
-                          peer_client_, rate_limiter_, metrics_},
+                          peer_client_, rate_limiter_, metrics_, traffic_},
                          settings_.id,
                          settings_.service),
         caller_server_(context_,
@@ -129,6 +130,7 @@
     ControlLink::Options options;
     options.seeds = support::ToStrings(settings_.seeds);
     options.node_id = settings_.id;
+    options.availability_zone = settings_.availability_zone;
     options.fill_request = [this](wire::SyncRequest& request) {
       FillRequest(request);
     };
@@ -322,6 +324,7 @@
          {"target_state",
           wire::TargetState_Name(stopping_ ? wire::TARGET_STATE_LEAVING
                                            : tracker.State())},
+         {"traffic", traffic_.TakeJson()},
          {"routes", request_handler_.counts().TakeJson()}});
   }
 
@@ -391,6 +394,7 @@
   TargetProxy target_proxy_;
   PeerClient peer_client_;
   RateLimiter rate_limiter_;
+  TrafficCounts traffic_;
   ControlLink control_link_;
   RequestHandler request_handler_;
   stream::Server caller_server_;
--- a/lib/relay/request_handler.cc
+++ b/lib/relay/request_handler.cc
@@ -306,6 +306,9 @@
     else
       result = CallResult::NotRun("member without an address");
   }
+  if (choice.node_id != node_id_)
+    deps_.traffic.Record("calls", choice.availability_zone,
+                         call.body.begin.size() + result.body.begin.size());
   auto end = routing::AttemptOutcome::kAbandoned;
   if (call.cancellation.requested()) {
     end = routing::AttemptOutcome::kAbandoned;
--- a/lib/relay/request_handler.h
+++ b/lib/relay/request_handler.h
@@ -14,6 +14,7 @@
 #include "rate_limiter.h"
 #include "request_counts.h"
 #include "target_proxy.h"
+#include "traffic_counts.h"
 #include "yuccastair/observe/line_budget.h"
 #include "yuccastair/observe/metrics.h"
 #include "yuccastair/relay/adapter.h"
@@ -44,6 +45,7 @@
     PeerClient& peers;
     RateLimiter& rates;
     observe::Metrics& metrics;
+    TrafficCounts& traffic;
   };
 
   /// \p node_id is the node id of this relay in the membership, \p service the
--- a/lib/routing/router.cc
+++ b/lib/routing/router.cc
@@ -195,6 +195,7 @@
   Choice choice;
   choice.node_id = target.member.node_id();
   choice.address = target.member.address();
+  choice.availability_zone = target.member.availability_zone();
   choice.probe = probe;
   choice.candidates = static_cast<std::uint32_t>(candidates);
   choice.load = Load(target);
--- a/unittests/relay/control_link_fixture.h
+++ b/unittests/relay/control_link_fixture.h
@@ -19,11 +19,14 @@
     ControlLink::Options options;
     options.seeds = std::move(seeds);
     options.node_id = "node";
+    options.availability_zone = "a";
     options.fill_request = [](wire::SyncRequest&) {};
-    options.apply_reply = [](const wire::SyncReply&) {};
+    options.apply_reply = [this](const wire::SyncReply& reply) {
+      applied_ages_.push_back(reply.age_ms());
+    };
     options.apply_grant = [](const wire::RateGrant&) {};
     options.reload_seeds = [this] { ++reload_count_; };
-    link_ = std::make_unique<ControlLink>(context_, clock_, metrics_,
+    link_ = std::make_unique<ControlLink>(context_, clock_, metrics_, traffic_,
                                           std::move(options));
   }
 
@@ -43,7 +46,10 @@
   stream::asio::io_context context_;
   support::SteadyClock clock_;
   observe::Metrics metrics_;
+  TrafficCounts traffic_{metrics_, "a"};
   int reload_count_ = 0;
+  // Ages of the views that were applied, in ms.
+  std::vector<std::uint32_t> applied_ages_;
   std::unique_ptr<ControlLink> link_;
 };
 
--- a/unittests/relay/control_link_test.cc
+++ b/unittests/relay/control_link_test.cc
@@ -1,7 +1,9 @@
 // Tests which control process a relay uses if one does not reply or is
 // disconnected from the others.
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <memory>
 
 #include "control_link_fixture.h"
 #include "fake_control_process.h"
@@ -23,6 +25,45 @@
   CHECK((first_is_old ? one : two).sync_count() <= 1);
 }
 
+// Guards against syncs that cross zones, which are charged.
+TEST_CASE_METHOD(ControlLinkFixture,
+                 "a relay moves to the control process of its own zone") {
+  const std::vector<std::string> addresses = {"127.0.0.1:26011",
+                                              "127.0.0.1:26012"};
+  const std::vector<std::string> zones = {"b", "a"};
+  FakeControlProcess other_zone(addresses[0], 0, addresses, zones);
+  FakeControlProcess own_zone(addresses[1], 0, addresses, zones);
+  Start({addresses[0]});
+  REQUIRE(RunUntil([&] { return own_zone.sync_count() >= 4; }));
+  const int before = other_zone.sync_count();
+  REQUIRE(RunUntil([&] { return own_zone.sync_count() >= 8; }));
+  CHECK(other_zone.sync_count() == before);
+  CHECK(IsFresh());
+}
+
+// Guards against a control process that is cut off from the others and still
+// lists targets that have left since.
+TEST_CASE_METHOD(ControlLinkFixture,
+                 "a stale view is not applied over a newer one") {
+  constexpr std::uint32_t kOldAgeMs = 60000;
+  auto current = std::make_unique<FakeControlProcess>("127.0.0.1:26013", 0);
+  Start({"127.0.0.1:26013", "127.0.0.1:26014"});
+  REQUIRE(RunUntil([&] { return IsFresh(); }));
+  current.reset();
+  const FakeControlProcess old("127.0.0.1:26014", kOldAgeMs);
+  REQUIRE(RunUntil([&] { return old.sync_count() > 2; }));
+  CHECK(std::count(applied_ages_.begin(), applied_ages_.end(), kOldAgeMs) == 0);
+}
+
+// A relay that has no view yet is better served by a stale one than by none.
+TEST_CASE_METHOD(ControlLinkFixture,
+                 "a relay without a view applies a stale "
+                 "one") {
+  const FakeControlProcess old("127.0.0.1:26015", 5000);
+  Start({"127.0.0.1:26015"});
+  CHECK(RunUntil([&] { return !applied_ages_.empty(); }));
+}
+
 TEST_CASE_METHOD(ControlLinkFixture,
                  "a relay leaves a silent control process") {
   FakeControlProcess control("127.0.0.1:26003", 0);
--- a/unittests/relay/entry_test.cc
+++ b/unittests/relay/entry_test.cc
@@ -143,6 +143,7 @@
   support::SteadyClock clock_;
   HeaderNames names_;
   observe::Metrics metrics_;
+  TrafficCounts traffic_{metrics_, "a"};
   ScriptedTarget own_;
   ScriptedTarget other_;
   // The body of the last response.
@@ -153,7 +154,7 @@
   RateLimiter rates_{context_, clock_, clock_,
                      "own",    "1",    [](const wire::RateRequest&) {}};
   RequestHandler handler_{
-      {clock_, names_, fleet_, target_, peers_, rates_, metrics_},
+      {clock_, names_, fleet_, target_, peers_, rates_, metrics_, traffic_},
       "own",
       "s"};
   stream::Server server_{context_, support::Address{"127.0.0.1", 0},
