Offer a request to another relay when a connection was never made

Cause: an attempt to connect to a relay that is down or cut off takes up to 300 ms, but a call may be queued for 75 ms only, and a request that was not run was offered again within that time alone. So each first call to such a relay was lost although other targets had free slots, and every relay of the fleet finds out for itself.

Change: the time of an attempt without a connection is added to the queue time of the request, up to its deadline.

Result: relay_entry_test (a request is offered to another relay if the first one cannot be reached) failed before with 503 and passes. The port without connections of wire_path_loss_test is shared with it.

--- a/lib/relay/request_handler.cc
+++ b/lib/relay/request_handler.cc
@@ -328,9 +328,15 @@
   }
   deps_.fleet.RouterFor(call.service)
       .router.RecordOutcome(choice, end, result.load ? &*result.load : nullptr);
+  const auto duration =
+      std::chrono::duration_cast<milliseconds>(deps_.clock.Now() - began);
+  // The time in which a connection was not made is no time in a queue: another
+  // target may have a free slot.
+  if (result.peer_failed && result.outcome == wire::OUTCOME_NOT_RUN)
+    call.queue_deadline =
+        std::min(call.deadline, call.queue_deadline + duration);
   request.attempts.push_back(
-      {choice.node_id, choice.load, choice.limit,
-       std::chrono::duration_cast<milliseconds>(deps_.clock.Now() - began),
+      {choice.node_id, choice.load, choice.limit, duration,
        result.outcome == wire::OUTCOME_OK
            ? "status " + std::to_string(result.head.result_int())
            : result.reason});
--- a/unittests/relay/entry_test.cc
+++ b/unittests/relay/entry_test.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include "dropped_connections.h"
 #include "peer_response.h"
 #include "scripted_target.h"
 
@@ -229,6 +230,42 @@
   ServedByAll() : RequestHandlerFixture(CallResult::NotRun("busy")) {}
 };
 
+/// A relay that knows two targets of a service; the relay of the one that it
+/// prefers cannot be reached.
+class UnreachableRelay : public RequestHandlerFixture {
+ protected:
+  static CallResult Served() {
+    CallResult served;
+    served.outcome = wire::OUTCOME_OK;
+    served.head.result(200);
+    served.reached_target = true;
+    return served;
+  }
+  UnreachableRelay() : RequestHandlerFixture(Served()) {
+    wire::SyncReply reply;
+    wire::ServiceMembers& members = *reply.add_services();
+    members.set_service("closed");
+    members.set_revision(1);
+    members.set_full(true);
+    AddMember(members, "gone", kGone.ToString());
+    members.mutable_members(0)->set_limit(1000);
+    AddMember(members, "other", other_.address().ToString());
+    fleet_.Apply(reply);
+  }
+
+  inline static const support::Address kGone{"127.0.0.1", 26095};
+  DroppedConnections dropped_{kGone.port};
+};
+
+// Guards against a request that is lost with a connection that was never made,
+// because the attempt took longer than a request may be queued.
+TEST_CASE_METHOD(UnreachableRelay,
+                 "a request is offered to another relay if the first one "
+                 "cannot be reached") {
+  CHECK(Ask("/closed/x") == 200);
+  CHECK(other_.requests().size() == 1);
+}
+
 // Guards against work for callers that disconnected before a relay under load
 // had read their requests: the end of the connection was handled after the
 // request had been sent.
