--- a/unittests/consensus/core_test.cc
+++ b/unittests/consensus/core_test.cc
@@ -242,6 +242,23 @@
     return status.config.members_size() == 4 &&
            status.commit_index == status.last_index;
   }));
+  // Three of five processes are connected, but only two of the four members.
+  const int other = (leader + 2) % 5;
+  for (const int cut_off : {(leader + 3) % 5, (leader + 4) % 5})
+    sim.Isolate(cut_off, true);
+  const std::size_t applied = sim.history().applied.size();
+  sim.Propose(leader);
+  const milliseconds end = sim.now() + milliseconds(10000);
+  CHECK_FALSE(sim.RunUntil(milliseconds(10000), [&] {
+    return sim.history().applied.size() > applied ||
+           sim.at(removed).core->status().role == Role::kLeader;
+  }));
+  CHECK(sim.now() >= end);
+  for (const int process : {leader, other, removed})
+    CHECK_FALSE(sim.at(process).core->IsCurrentLeader());
+  sim.HealNetwork();
+  REQUIRE(sim.RunUntil(kSimulatedTimeLimit, [&] { return sim.Leader() >= 0; }));
+  CommitOneCommand(sim, sim.Leader());
 }
 
 // Guards against lost state when all processes fail at once.
--- a/unittests/temporary_dir.h
+++ b/unittests/temporary_dir.h
@@ -5,12 +5,15 @@
 
 #include <stdlib.h>
 
+#include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <string>
 
 namespace yuccastair {
 
+/// A folder that is removed with the object, unless YUCCASTAIR_KEEP_FILES is
+/// set, for instance to read the logs of the processes of a failed test.
 class TemporaryDir {
  public:
   TemporaryDir() {
@@ -21,6 +24,8 @@
     path_ = mkdtemp(name.data());
   }
   ~TemporaryDir() {
+    if (std::getenv("YUCCASTAIR_KEEP_FILES") != nullptr)
+      return;
     std::error_code ignored;
     std::filesystem::remove_all(path_, ignored);
   }
