--- a/unittests/relay/control_selector_test.cc
+++ b/unittests/relay/control_selector_test.cc
@@ -14,8 +14,6 @@
 using namespace std::chrono_literals;
 using std::chrono::milliseconds;
 
-const std::vector<std::string> kSeeds = {"c1", "c2", "c3"};
-
 std::vector<ReportedControl> Controls(const std::vector<std::string>& zones) {
   std::vector<ReportedControl> controls;
   for (std::size_t i = 0; i < zones.size(); ++i)
@@ -27,10 +25,11 @@
  protected:
   ControlSelector MakeSelector(const std::string& node_id,
                                const std::string& zone) {
-    return {clock_, node_id, zone, kSeeds, [this](std::uint32_t bound) {
-              return std::uniform_int_distribution<std::uint32_t>(
-                  0, bound - 1)(random_);
-            }};
+    return {
+        clock_, node_id, zone, {"c1", "c2", "c3"}, [this](std::uint32_t bound) {
+          return std::uniform_int_distribution<std::uint32_t>(
+              0, bound - 1)(random_);
+        }};
   }
 
   /// Syncs every 400 ms for \p time; the control processes in \p down do not
--- a/unittests/relay/entry_test.cc
+++ b/unittests/relay/entry_test.cc
@@ -4,6 +4,7 @@
 
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <cstdint>
 
 #include "dropped_connections.h"
 #include "peer_response.h"
@@ -247,14 +248,15 @@
     members.set_service("closed");
     members.set_revision(1);
     members.set_full(true);
-    AddMember(members, "gone", kGone.ToString());
+    AddMember(members, "gone",
+              support::Address{"127.0.0.1", kGonePort}.ToString());
     members.mutable_members(0)->set_limit(1000);
     AddMember(members, "other", other_.address().ToString());
     fleet_.Apply(reply);
   }
 
-  inline static const support::Address kGone{"127.0.0.1", 26095};
-  DroppedConnections dropped_{kGone.port};
+  static constexpr std::uint16_t kGonePort = 26095;
+  DroppedConnections dropped_{kGonePort};
 };
 
 // Guards against a request that is lost with a connection that was never made,
