Log which requests the end of a relay cuts off

Cause: relay.stopped has only the number of active requests, refused ones included, so an incident's log does not say which requests were cut. Change: a gate counts, by route, the requests of callers and of other relays that have no answer yet; relay.stopped has "cut" and "cut_routes". No request is handled in another way.

--- a/lib/relay/relay.cc
+++ b/lib/relay/relay.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <chrono>
 #include <csignal>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <utility>
@@ -15,6 +16,7 @@
 #include "peer_client.h"
 #include "peer_protocol.h"
 #include "rate_limiter.h"
+#include "request_gate.h"
 #include "request_handler.h"
 #include "target_proxy.h"
 #include "yuccastair/observe/metrics.h"
@@ -71,10 +73,11 @@
                       }),
         traffic_(metrics_, settings_.availability_zone),
         control_link_(context_, clock_, metrics_, traffic_, LinkOptions()),
-        request_handler_({clock_, adapter_.headers, fleet_, target_proxy_,
-                          peer_client_, rate_limiter_, metrics_, traffic_},
-                         settings_.id,
-                         settings_.service),
+        request_handler_(
+            {clock_, adapter_.headers, fleet_, target_proxy_, peer_client_,
+             rate_limiter_, gate_, metrics_, traffic_},
+            settings_.id,
+            settings_.service),
         caller_server_(context_,
                        settings_.caller_listen,
                        [this](stream::ServerExchange& exchange) {
@@ -122,7 +125,7 @@
                       {"peer_listen", settings_.peer_listen.ToString()},
                       {"seeds", support::ToStrings(settings_.seeds)}});
     context_.run();
-    support::LogInfo("relay.stopped", {{"active", ActiveRequests()}});
+    LogStopped();
   }
 
  private:
@@ -185,6 +188,7 @@
     RelayCall call;
     CallResult result;
     const bool decoded = DecodeCall(exchange.head(), clock_.Now(), call);
+    const auto pass = decoded ? gate_.Enter(call.route) : nullptr;
     const stream::ErrorCode error = co_await exchange.ReadBody(call.body);
     if (error) {
       exchange.Abort();
@@ -348,6 +352,19 @@
     }
   }
 
+  /// Logs and counts the requests that the end of the process cuts off.
+  void LogStopped() {
+    nlohmann::json cut_routes = nlohmann::json::object();
+    std::size_t cut = 0;
+    for (const auto& [route, count] : gate_.inside()) {
+      cut += count;
+      cut_routes[route] = count;
+    }
+    support::LogInfo("relay.stopped", {{"active", ActiveRequests()},
+                                       {"cut", cut},
+                                       {"cut_routes", cut_routes}});
+  }
+
   void ReloadSettings() {
     const auto settings = reload_settings_();
     support::LogInfo("settings.reloaded", {{"valid", settings.has_value()}});
@@ -394,6 +411,7 @@
   TargetProxy target_proxy_;
   PeerClient peer_client_;
   RateLimiter rate_limiter_;
+  RequestGate gate_;
   TrafficCounts traffic_;
   ControlLink control_link_;
   RequestHandler request_handler_;
--- a/lib/relay/request_handler.cc
+++ b/lib/relay/request_handler.cc
@@ -95,6 +95,7 @@
   request.started_at = deps_.clock.Now();
   Rejection rejection;
   const bool prepared = Prepare(exchange.head(), request, rejection);
+  const auto pass = prepared ? deps_.gate.Enter(request.call.route) : nullptr;
   const stream::ErrorCode error = co_await exchange.ReadBody(request.call.body);
   if (error) {
     if (exchange.body_too_large()) {
--- a/lib/relay/request_handler.h
+++ b/lib/relay/request_handler.h
@@ -13,6 +13,7 @@
 #include "peer_client.h"
 #include "rate_limiter.h"
 #include "request_counts.h"
+#include "request_gate.h"
 #include "target_proxy.h"
 #include "traffic_counts.h"
 #include "yuccastair/observe/line_budget.h"
@@ -44,6 +45,7 @@
     TargetProxy& target;
     PeerClient& peers;
     RateLimiter& rates;
+    RequestGate& gate;
     observe::Metrics& metrics;
     TrafficCounts& traffic;
   };
--- a/unittests/relay/entry_test.cc
+++ b/unittests/relay/entry_test.cc
@@ -155,10 +155,11 @@
   PeerClient peers_{context_, clock_};
   RateLimiter rates_{context_, clock_, clock_,
                      "own",    "1",    [](const wire::RateRequest&) {}};
-  RequestHandler handler_{
-      {clock_, names_, fleet_, target_, peers_, rates_, metrics_, traffic_},
-      "own",
-      "s"};
+  RequestGate gate_;
+  RequestHandler handler_{{clock_, names_, fleet_, target_, peers_, rates_,
+                           gate_, metrics_, traffic_},
+                          "own",
+                          "s"};
   stream::Server server_{context_, support::Address{"127.0.0.1", 0},
                          [this](stream::ServerExchange& exchange) {
                            return handler_.Handle(exchange);
