--- a/unittests/platform/soak_layout.h
+++ b/unittests/platform/soak_layout.h
@@ -22,6 +22,7 @@
   static constexpr int kSoakPorts = 16000;
   static constexpr int kWholeRestartPorts = 11000;
   static constexpr int kWithoutTargetPorts = 15000;
+  static constexpr int kPlannedStopPorts = 20000;
 
   /// Seeds that run at the same time have ports of their own.
   SoakLayout(int first_port, std::uint64_t seed)
--- a/unittests/platform/soak_test.cc
+++ b/unittests/platform/soak_test.cc
@@ -306,14 +306,7 @@
   }
 
   void Check() const {
-    std::multiset<std::string> ran;
-    for (const auto& target : targets_) {
-      for (const std::string& head : target->requests()) {
-        const std::string name = "X-Attempt-Id: ";
-        const std::size_t at = head.find(name) + name.size();
-        ran.insert(head.substr(at, head.find("\r\n", at) - at));
-      }
-    }
+    const std::multiset<std::string> ran = RequestIds(targets_);
     for (const auto& request : requests_) {
       const Answer& answer = request->answer;
       const std::string what =
--- a/unittests/platform/system_client.h
+++ b/unittests/platform/system_client.h
@@ -8,8 +8,10 @@
 #include <chrono>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "relay/scripted_target.h"
 #include "yuccastair/stream/client.h"
@@ -26,6 +28,20 @@
   bool sent = false;
 };
 
+/// Returns the ids of the requests that \p targets have received.
+inline std::multiset<std::string> RequestIds(
+    const std::vector<std::unique_ptr<relay::ScriptedTarget>>& targets) {
+  const std::string name = "X-Attempt-Id: ";
+  std::multiset<std::string> ids;
+  for (const auto& target : targets) {
+    for (const std::string& head : target->requests()) {
+      const std::size_t at = head.find(name) + name.size();
+      ids.insert(head.substr(at, head.find("\r\n", at) - at));
+    }
+  }
+  return ids;
+}
+
 /// Exchanges on one thread, whose context runs while the test waits.
 class SystemClient {
  public:
@@ -34,6 +50,9 @@
 
   stream::asio::io_context& context() { return context_; }
 
+  /// Sets the time that requests state as their deadline.
+  void SetDeadline(std::chrono::milliseconds deadline) { deadline_ = deadline; }
+
   void RunFor(support::Duration time) {
     context_.restart();
     context_.run_for(time);
@@ -78,7 +97,7 @@
                               std::string key,
                               Answer& answer) {
     auto acquired = co_await pool.Acquire(
-        address, support::SteadyClock().Now() + std::chrono::seconds(5));
+        address, support::SteadyClock().Now() + deadline_ + kAnswerMargin);
     if (!acquired.connection)
       co_return;
     stream::http::header<true> head;
@@ -86,7 +105,7 @@
     head.target(path);
     head.set("Host", "h.example");
     head.set("X-Attempt-Id", id);
-    head.set("X-Deadline-Ms", "4000");
+    head.set("X-Deadline-Ms", std::to_string(deadline_.count()));
     if (!key.empty())
       head.set("Authorization", "Token " + key);
     stream::BodySource source;
@@ -162,7 +181,11 @@
   }
 
  private:
+  // Time after the deadline in which an answer may still arrive.
+  static constexpr std::chrono::seconds kAnswerMargin{1};
+
   stream::asio::io_context context_;
+  std::chrono::milliseconds deadline_{4000};
 };
 
 }  // namespace yuccastair
--- a/unittests/relay/scripted_target.h
+++ b/unittests/relay/scripted_target.h
@@ -3,6 +3,7 @@
 #ifndef YUCCASTAIR_UNITTESTS_RELAY_SCRIPTED_TARGET_H_
 #define YUCCASTAIR_UNITTESTS_RELAY_SCRIPTED_TARGET_H_
 
+#include <chrono>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -60,6 +61,12 @@
   /// Number of accepted connections.
   int connections() const { return connections_; }
   void Close() { acceptor_.close(); }
+  /// Delays the response to each request by the time that \p choose returns for
+  /// its id.
+  void DelayResponses(
+      std::function<std::chrono::milliseconds(const std::string& id)> choose) {
+    choose_delay_ = std::move(choose);
+  }
   /// Resets the connections of the \p count oldest requests without a response.
   void ResetHeld(std::size_t count) {
     for (; count > 0 && !held_.empty(); --count) {
@@ -108,6 +115,11 @@
         held_.push_back(std::make_unique<Socket>(std::move(socket)));
         co_return;
       }
+      if (choose_delay_) {
+        stream::asio::steady_timer timer(socket.get_executor(),
+                                         choose_delay_(id));
+        co_await timer.async_wait(stream::kAsTuple);
+      }
       const std::string answer = AnswerTo(id);
       co_await stream::asio::async_write(socket, stream::asio::buffer(answer),
                                          stream::kAsTuple);
@@ -142,6 +154,7 @@
   const std::string answer_;
   const ChooseAction choose_action_;
   const std::string id_header_;
+  std::function<std::chrono::milliseconds(const std::string& id)> choose_delay_;
   int connections_ = 0;
   std::vector<std::string> requests_;
   std::deque<std::unique_ptr<Socket>> held_;
