Refuse new requests once others know that a relay is leaving

Cause: Drain waited until no request was active, while the relay accepted connections and requests until its end. Where callers keep sending, since most relays of their zone are leaving, the count only fell to zero by chance, and whatever was taken last was cut at the bound. Change: after the time in which others notice the leave, the relay refuses what callers and other relays send, as not run, and closes idle connections. It serves the calls of the local target for requests it has accepted, until half a second before its end. It ends as soon as accepted requests are answered; then it stops listening and lets callers read their last answers. relay.stopped and two metrics count what was refused or cut.

--- a/include/yuccastair/relay/relay.h
+++ b/include/yuccastair/relay/relay.h
@@ -27,9 +27,10 @@
   Relay& operator=(const Relay&) = delete;
 
   /// Serves until a shutdown on SIGTERM or SIGINT completes. The relay first
-  /// reports that it is leaving. It keeps serving until others have noticed and
-  /// no request is active, and returns within Settings::shutdown_timeout.
-  /// SIGHUP reloads the settings.
+  /// reports that it is leaving and keeps serving until others have noticed.
+  /// Then it refuses new requests and returns when those that it has accepted
+  /// are answered, within Settings::shutdown_timeout. SIGHUP reloads the
+  /// settings.
   void Run();
 
  private:
--- a/include/yuccastair/stream/server.h
+++ b/include/yuccastair/stream/server.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "yuccastair/stream/body_source.h"
@@ -97,10 +98,18 @@
   void SetLimits(const ServerLimits& limits) { limits_ = limits; }
   /// Closes each connection after its next answer.
   void StartDraining() { draining_ = true; }
+  /// Closes the connections on which no request has begun to arrive. Further
+  /// connections are accepted.
+  void CloseIdle();
+  /// Stops listening and closes idle connections. Requests that have begun to
+  /// arrive are still served.
+  void StopListening();
   /// Port that is listened on, for a server that was bound to port 0.
   std::uint16_t port() const;
   /// Requests that have no answer yet.
   std::size_t active() const { return active_; }
+  /// Open connections, those included whose last answer is on its way.
+  std::size_t connections() const { return connections_; }
 
  private:
   Task<void> Accept();
@@ -114,6 +123,9 @@
   ServerLimits limits_;
   bool draining_ = false;
   std::size_t active_ = 0;
+  std::size_t connections_ = 0;
+  // Connections that wait for the first byte of a request.
+  std::set<beast::tcp_stream*> idle_;
 };
 
 }  // namespace yuccastair::stream
--- a/lib/relay/relay.cc
+++ b/lib/relay/relay.cc
@@ -42,6 +42,11 @@
 // Time within which callers and other relays notice that a relay is leaving:
 // two readiness checks at an interval of one second, and a sync.
 constexpr milliseconds kDepartureNoticeTime{2500};
+// A call that the local target makes later than this before the end of the
+// drain is refused, since it would be cut off together with its request.
+constexpr milliseconds kMinCallTime{500};
+// Time in which callers read the last answers and close their connections.
+constexpr milliseconds kMaxCloseTime{200};
 // Time reserved between the end of the drain and the required exit of the
 // process.
 constexpr milliseconds kExitMargin{700};
@@ -188,7 +193,9 @@
     RelayCall call;
     CallResult result;
     const bool decoded = DecodeCall(exchange.head(), clock_.Now(), call);
-    const auto pass = decoded ? gate_.Enter(call.route) : nullptr;
+    const auto pass = decoded
+                          ? gate_.Enter(call.route, RequestGate::Origin::kRelay)
+                          : nullptr;
     const stream::ErrorCode error = co_await exchange.ReadBody(call.body);
     if (error) {
       exchange.Abort();
@@ -204,10 +211,14 @@
     WatchForDisconnect(exchange, call);
     const Announcement* announced =
         target_proxy_.tracker().latest_announcement();
-    if (announced != nullptr && announced->service != call.service)
+    if (!pass) {
+      metrics_.Count("yuccastair_stopping_refusals_total", {{"from", "relay"}});
+      result = CallResult::NotRun(kRelayIsStopping);
+    } else if (announced != nullptr && announced->service != call.service) {
       result = CallResult::NotRun("the target is of another service");
-    else
+    } else {
       result = co_await target_proxy_.Run(call);
+    }
     if (call.cancellation.requested()) {
       if (result.on_body_end)
         result.on_body_end(false);
@@ -352,7 +363,8 @@
     }
   }
 
-  /// Logs and counts the requests that the end of the process cuts off.
+  /// Logs the requests that the end of the process cuts off, and those that
+  /// were refused while it stopped.
   void LogStopped() {
     nlohmann::json cut_routes = nlohmann::json::object();
     std::size_t cut = 0;
@@ -360,9 +372,15 @@
       cut += count;
       cut_routes[route] = count;
     }
+    using Origin = RequestGate::Origin;
+    const std::size_t refused_callers =
+        gate_.refused(Origin::kCaller) + gate_.refused(Origin::kTargetCall);
+    const std::size_t refused_relays = gate_.refused(Origin::kRelay);
     support::LogInfo("relay.stopped", {{"active", ActiveRequests()},
                                        {"cut", cut},
-                                       {"cut_routes", cut_routes}});
+                                       {"cut_routes", cut_routes},
+                                       {"refused_callers", refused_callers},
+                                       {"refused_relays", refused_relays}});
   }
 
   void ReloadSettings() {
@@ -377,23 +395,46 @@
     request_handler_.SetService(settings_.service);
   }
 
+  /// Ends the process with the work that it has accepted. Requests are taken
+  /// while others notice that the relay leaves; from then on they are refused,
+  /// since the work at the end of the drain is cut off.
   Task<void> Drain() {
     support::LogInfo("relay.draining", {{"active", ActiveRequests()}});
     const support::TimePoint began = clock_.Now();
-    const support::TimePoint until =
+    const support::TimePoint end =
         began +
         std::max(milliseconds(0), settings_.shutdown_timeout - kExitMargin);
     control_link_.SyncNow();
     caller_server_.StartDraining();
     peer_server_.StartDraining();
+    co_await WaitUntil(std::min(end, began + kDepartureNoticeTime),
+                       [] { return false; });
+    gate_.SetState(RequestGate::State::kTargetCallsOnly);
+    caller_server_.CloseIdle();
+    peer_server_.CloseIdle();
+    const auto all_answered = [this] { return gate_.inside().empty(); };
+    co_await WaitUntil(end - kMinCallTime, all_answered);
+    gate_.SetState(RequestGate::State::kClosed);
+    co_await WaitUntil(end, all_answered);
+    caller_server_.StopListening();
+    peer_server_.StopListening();
+    co_await WaitUntil(clock_.Now() + kMaxCloseTime, [this] {
+      return caller_server_.connections() + peer_server_.connections() == 0;
+    });
+    for (const auto& [route, count] : gate_.inside())
+      metrics_.Count("yuccastair_requests_cut_total", {{"route", route}},
+                     static_cast<double>(count));
+    context_.stop();
+  }
+
+  /// Waits for \p done, at most until \p end.
+  template <typename Condition>
+  Task<void> WaitUntil(support::TimePoint end, Condition done) {
     asio::steady_timer timer(context_);
-    while (
-        clock_.Now() < until &&
-        (clock_.Now() < began + kDepartureNoticeTime || ActiveRequests() > 0)) {
+    while (clock_.Now() < end && !done()) {
       timer.expires_after(kTickInterval);
       co_await timer.async_wait(stream::kAsTuple);
     }
-    context_.stop();
   }
 
   Settings settings_;
--- a/lib/relay/request_gate.h
+++ b/lib/relay/request_gate.h
@@ -1,4 +1,4 @@
-// Counts the requests that a relay works on.
+// Decides which requests a stopping relay still takes.
 
 #ifndef YUCCASTAIR_LIB_RELAY_REQUEST_GATE_H_
 #define YUCCASTAIR_LIB_RELAY_REQUEST_GATE_H_
@@ -11,12 +11,30 @@
 
 namespace yuccastair::relay {
 
-/// Counts, by route, the requests that have entered and have no answer yet.
-/// Used on one thread.
+/// Reason that callers and other relays get for a refusal by the gate.
+inline constexpr const char* kRelayIsStopping = "the relay is stopping";
+
+/// Admits requests and counts, by route, those that have no answer yet. Used on
+/// one thread.
 class RequestGate {
  public:
   using RouteCounts = std::map<std::string, std::size_t>;
 
+  enum class Origin {
+    /// A caller on this instance.
+    kCaller,
+    /// The local target, for a request that it runs.
+    kTargetCall,
+    /// Another relay, for the local target.
+    kRelay,
+  };
+  enum class State {
+    kOpen,
+    /// Admits only what the requests inside need to end.
+    kTargetCallsOnly,
+    kClosed,
+  };
+
   /// Counts a request for as long as it exists. May outlive the gate.
   class Pass {
    public:
@@ -37,14 +55,32 @@
     const std::string route_;
   };
 
-  std::unique_ptr<Pass> Enter(const std::string& route) {
+  /// Returns null if the request must be refused.
+  std::unique_ptr<Pass> Enter(const std::string& route, Origin origin) {
+    const bool admitted =
+        state_ == State::kOpen ||
+        (state_ == State::kTargetCallsOnly && origin == Origin::kTargetCall);
+    if (!admitted) {
+      ++refused_[origin];
+      return nullptr;
+    }
     return std::make_unique<Pass>(counts_, route);
   }
 
+  void SetState(State state) { state_ = state; }
+  State state() const { return state_; }
+
+  /// Number of requests from \p origin that were refused.
+  std::size_t refused(Origin origin) const {
+    const auto found = refused_.find(origin);
+    return found == refused_.end() ? 0 : found->second;
+  }
   /// The requests that have entered and have no answer yet.
   const RouteCounts& inside() const { return *counts_; }
 
  private:
+  State state_ = State::kOpen;
+  std::map<Origin, std::size_t> refused_;
   // Routes without requests have no entry.
   const std::shared_ptr<RouteCounts> counts_ = std::make_shared<RouteCounts>();
 };
--- a/lib/relay/request_handler.cc
+++ b/lib/relay/request_handler.cc
@@ -40,7 +40,10 @@
 constexpr milliseconds kMinRetryAfter{50};
 // Callers wait at most a third of their remaining time; the retry time stays
 // below that.
+constexpr int kMaxRetryAfterDivisor = 3;
 constexpr int kRetryAfterDivisor = 4;
+// A stopped relay is not back earlier than this.
+constexpr milliseconds kMinRestartTime{750};
 
 // Maximum rate of log lines about requests; a line costs as much as rejecting a
 // request.
@@ -95,7 +98,9 @@
   request.started_at = deps_.clock.Now();
   Rejection rejection;
   const bool prepared = Prepare(exchange.head(), request, rejection);
-  const auto pass = prepared ? deps_.gate.Enter(request.call.route) : nullptr;
+  const auto pass =
+      prepared ? deps_.gate.Enter(request.call.route, OriginOf(request))
+               : nullptr;
   const stream::ErrorCode error = co_await exchange.ReadBody(request.call.body);
   if (error) {
     if (exchange.body_too_large()) {
@@ -115,6 +120,12 @@
     co_await Reject(exchange, request, rejection);
     co_return;
   }
+  if (!pass) {
+    deps_.metrics.Count("yuccastair_stopping_refusals_total",
+                        {{"from", "caller"}});
+    co_await Reject(exchange, request, RefusalOfStoppingRelay(request));
+    co_return;
+  }
   RelayCall& call = request.call;
   WatchForDisconnect(exchange, call);
   if (call.cancellation.CheckCaller()) {
@@ -227,6 +238,18 @@
   call.parent_is_retry = request.parent->is_retry;
 }
 
+RequestGate::Origin RequestHandler::OriginOf(const Request& request) const {
+  // An open gate does not depend on the origin.
+  if (deps_.gate.state() == RequestGate::State::kOpen)
+    return RequestGate::Origin::kCaller;
+  // Not only open routes are called by targets if there are no organisations.
+  const bool from_target =
+      request.parent || deps_.target.running_requests().FindParent(
+                            request.call.request_id, request.caller_deadline);
+  return from_target ? RequestGate::Origin::kTargetCall
+                     : RequestGate::Origin::kCaller;
+}
+
 void RequestHandler::SetDeadlines(const std::string& announced,
                                   Request& request) const {
   const wire::PolicyRoute& route = *request.route;
@@ -399,6 +422,16 @@
   co_await Reject(exchange, request, RejectionFor(request, result));
 }
 
+RequestHandler::Rejection RequestHandler::RefusalOfStoppingRelay(
+    const Request& request) const {
+  const milliseconds left =
+      RemainingTime(request.call.deadline, deps_.clock.Now());
+  const milliseconds spread(support::RandomBelow(
+      static_cast<std::uint32_t>(kMinRestartTime.count())));
+  return {503, kRelayIsStopping,
+          std::min(kMinRestartTime + spread, left / kMaxRetryAfterDivisor)};
+}
+
 /// Returns the time after which a rejected caller should retry. It is random
 /// within a fraction of the caller's remaining time, so that callers that are
 /// rejected together do not retry together.
--- a/lib/relay/request_handler.h
+++ b/lib/relay/request_handler.h
@@ -107,6 +107,7 @@
                  Rejection& rejection) const;
   void SetDeadlines(const std::string& announced, Request& request) const;
   void InheritFromParent(Request& request) const;
+  RequestGate::Origin OriginOf(const Request& request) const;
   stream::Task<CallResult> SendWithRetries(Request& request);
   stream::Task<CallResult> SendAttempt(Request& request,
                                        const routing::Choice& choice);
@@ -117,6 +118,7 @@
   stream::Task<void> Reject(stream::ServerExchange& exchange,
                             const Request& request,
                             const Rejection& rejection);
+  Rejection RefusalOfStoppingRelay(const Request& request) const;
   std::chrono::milliseconds RandomRetryAfter(const Request& request) const;
   Rejection RejectionFor(const Request& request,
                          const CallResult& result) const;
--- a/lib/stream/server.cc
+++ b/lib/stream/server.cc
@@ -201,8 +201,23 @@
   return acceptor_.local_endpoint().port();
 }
 
+void Server::CloseIdle() {
+  for (beast::tcp_stream* stream : idle_) {
+    // Bytes that have arrived are a request, which is answered.
+    if (StateOf(stream->socket()) != SocketState::kReadable)
+      stream->cancel();
+  }
+}
+
+void Server::StopListening() {
+  draining_ = true;
+  CloseIdle();
+  ErrorCode ignored;  // Closing cannot be retried.
+  acceptor_.close(ignored);
+}
+
 Task<void> Server::Accept() {
-  while (true) {
+  while (acceptor_.is_open()) {
     auto [error] = co_await acceptor_.async_wait(
         asio::ip::tcp::acceptor::wait_read, kAsTuple);
     if (error == asio::error::operation_aborted)
@@ -237,12 +252,14 @@
 }
 
 Task<void> Server::Serve(asio::ip::tcp::socket socket) {
+  ++connections_;
   beast::tcp_stream stream(std::move(socket));
   beast::flat_buffer buffer;
   while (co_await ServeOne(stream, buffer)) {
   }
   if (stream.socket().is_open())
     co_await Linger(stream);
+  --connections_;
 }
 
 /// Serves the next request. Returns whether the connection can be used again.
@@ -251,7 +268,9 @@
   if (buffer.size() == 0) {
     stream.expires_after(limits_.idle_timeout);
     auto space = buffer.prepare(kPieceBytes);
+    idle_.insert(&stream);
     auto [error, bytes] = co_await stream.async_read_some(space, kAsTuple);
+    idle_.erase(&stream);
     if (error) {
       ErrorCode ignored;  // Closing cannot be retried.
       stream.socket().close(ignored);
--- a/unittests/stream/server_test.cc
+++ b/unittests/stream/server_test.cc
@@ -100,5 +100,83 @@
   CHECK(error == asio::error::eof);
 }
 
+class StoppingServer {
+ protected:
+  Socket Connect() {
+    Socket socket(context_);
+    socket.connect({asio::ip::make_address("127.0.0.1"), server_.port()});
+    socket.non_blocking(true);
+    return socket;
+  }
+
+  void Send(Socket& socket, const std::string& text) {
+    asio::write(socket, asio::buffer(text));
+  }
+
+  /// Returns what has arrived; empty if nothing has. \p error is eof for a
+  /// closed connection.
+  std::string Read(Socket& socket, ErrorCode& error) {
+    context_.restart();
+    context_.run_for(std::chrono::milliseconds(50));
+    std::string text(kAnswerRoom, '\0');
+    text.resize(socket.read_some(asio::buffer(text), error));
+    return text;
+  }
+
+  static constexpr const char* kRequest = "GET / HTTP/1.1\r\n\r\n";
+
+  asio::io_context context_;
+  Server server_{
+      context_, support::Address{"127.0.0.1", 0},
+      [](ServerExchange& exchange) { return AnswerEmpty(exchange); }};
+};
+
+// Guards against callers that use a connection which the end of the process
+// breaks.
+TEST_CASE_METHOD(
+    StoppingServer,
+    "a stopping server closes only connections without a request") {
+  Socket idle = Connect();
+  Socket begun = Connect();
+  Socket arrived = Connect();
+  ErrorCode error;
+  Send(begun, "GET / HTTP/1.1\r\n");
+  Read(begun, error);
+  REQUIRE(error == asio::error::would_block);
+  Send(arrived, kRequest);
+  server_.CloseIdle();
+  Read(idle, error);
+  CHECK(error == asio::error::eof);
+  CHECK(Read(arrived, error).find("200") != std::string::npos);
+  Send(begun, "\r\n");
+  CHECK(Read(begun, error).find("200") != std::string::npos);
+  Socket late = Connect();
+  Send(late, kRequest);
+  CHECK(Read(late, error).find("200") != std::string::npos);
+}
+
+TEST_CASE_METHOD(StoppingServer,
+                 "a server that stops listening has no connection left") {
+  Socket idle = Connect();
+  Socket begun = Connect();
+  ErrorCode error;
+  Send(begun, "GET / HTTP/1.1\r\n");
+  Read(begun, error);
+  const std::uint16_t port = server_.port();
+  CHECK(server_.connections() == 2);
+  server_.StopListening();
+  Read(idle, error);
+  CHECK(error == asio::error::eof);
+  Socket refused(context_);
+  refused.connect({asio::ip::make_address("127.0.0.1"), port}, error);
+  CHECK(error == asio::error::connection_refused);
+  CHECK(server_.connections() == 1);
+  Send(begun, "\r\n");
+  CHECK(Read(begun, error).find("Connection: close") != std::string::npos);
+  begun.close();
+  Read(idle, error);
+  CHECK(server_.connections() == 0);
+}
+
 }  // namespace
 }  // namespace yuccastair::stream
