Move the responses to callers into a file of their own

Change: Respond, the rejections and the record of outcomes move as they are to request_response.cc; kMinRetryAfter, which both files use, becomes a member of the class. No behaviour changes.

--- a/lib/relay/request_handler.h
+++ b/lib/relay/request_handler.h
@@ -93,6 +93,9 @@
     // Service without targets that the request or one of its calls needs.
     std::string missing_service;
   };
+  // Minimum retry time of rejected callers.
+  static constexpr std::chrono::milliseconds kMinRetryAfter{50};
+
   struct Rejection {
     unsigned status = 0;
     std::string reason;
