--- a/lib/relay/request_handler.h
+++ b/lib/relay/request_handler.h
@@ -13,6 +13,7 @@
 #include "peer_client.h"
 #include "rate_limiter.h"
 #include "request_counts.h"
+#include "request_gate.h"
 #include "target_proxy.h"
 #include "traffic_counts.h"
 #include "yuccastair/observe/line_budget.h"
@@ -44,6 +45,7 @@
     TargetProxy& target;
     PeerClient& peers;
     RateLimiter& rates;
+    RequestGate& gate;
     observe::Metrics& metrics;
     TrafficCounts& traffic;
   };
@@ -91,6 +93,9 @@
     // Service without targets that the request or one of its calls needs.
     std::string missing_service;
   };
+  // Minimum retry time of rejected callers.
+  static constexpr std::chrono::milliseconds kMinRetryAfter{50};
+
   struct Rejection {
     unsigned status = 0;
     std::string reason;
@@ -105,6 +110,7 @@
                  Rejection& rejection) const;
   void SetDeadlines(const std::string& announced, Request& request) const;
   void InheritFromParent(Request& request) const;
+  RequestGate::Origin OriginOf(const Request& request) const;
   stream::Task<CallResult> SendWithRetries(Request& request);
   stream::Task<CallResult> SendAttempt(Request& request,
                                        const routing::Choice& choice);
@@ -115,6 +121,7 @@
   stream::Task<void> Reject(stream::ServerExchange& exchange,
                             const Request& request,
                             const Rejection& rejection);
+  Rejection RefusalOfStoppingRelay(const Request& request) const;
   std::chrono::milliseconds RandomRetryAfter(const Request& request) const;
   Rejection RejectionFor(const Request& request,
                          const CallResult& result) const;
