Meet the linter's names in the test of planned stops

Cause: clang-tidy refuses a global std::string constant and a shared pointer passed by value. Change: a constant of characters and a reference; no check changes. Measured: clang-tidy is clean on the file, its 17 checks pass.

--- a/unittests/platform/planned_stop_test.cc
+++ b/unittests/platform/planned_stop_test.cc
@@ -30,7 +30,7 @@
 constexpr milliseconds kServiceTime{500};
 constexpr milliseconds kRequestDeadline{8000};
 // Id of a request that keeps the stopping relay at work.
-const std::string kLongRequest = "long";
+constexpr const char* kLongRequest = "long";
 constexpr milliseconds kLongServiceTime{5000};
 // Others notice within this time that a relay is leaving.
 constexpr milliseconds kDepartureNoticeTime{2500};
@@ -117,7 +117,7 @@
   }
 
   /// Sends a request on an idle connection in two pieces, \p pause apart.
-  void SendInPieces(std::shared_ptr<asio::ip::tcp::socket> socket,
+  void SendInPieces(const std::shared_ptr<asio::ip::tcp::socket>& socket,
                     milliseconds pause) {
     asio::co_spawn(
         context(),
@@ -318,7 +318,7 @@
   system.RunFor(100ms);
   system.Stop();
   system.RunUntil(kDepartureNoticeTime + 500ms);
-  const auto call = system.SendOnce(kLongRequest + ".1");
+  const auto call = system.SendOnce(std::string(kLongRequest) + ".1");
   const auto other = system.SendOnce("other");
   system.AwaitEnd();
   system.FinishCallers();
