Bound what a stopping relay takes by the time that it has left

A review of the planned stop found two ways in which accepted work was still cut, without an answer to its caller. Cause: calls of the local target, or requests that look like them by their deadline, were taken until 0.5 s before the end, however long they last; and a relay with a time to stop of 3.2 s or less took everything until its end. Change: 0.5 s after the notice a call must have a deadline before the end, and the notice takes at most half of the time. Other relays' idle connections stay open until the end, since a call that crosses the close would be lost in place of refused, a request that crosses the close of an idle connection is read, and a refusal tells other relays that the target is leaving. Cut requests are counted before the last wait.

--- a/lib/relay/relay.cc
+++ b/lib/relay/relay.cc
@@ -42,9 +42,11 @@
 // Time within which callers and other relays notice that a relay is leaving:
 // two readiness checks at an interval of one second, and a sync.
 constexpr milliseconds kDepartureNoticeTime{2500};
-// A call that the local target makes later than this before the end of the
-// drain is refused, since it would be cut off together with its request.
-constexpr milliseconds kMinCallTime{500};
+// At most this fraction of the time to stop is spent on that.
+constexpr int kNoticeTimeDivisor = 2;
+// Calls of the local target are taken for so much longer, whatever their
+// deadline; then only if it lies before the end of the drain.
+constexpr milliseconds kTargetCallTime{500};
 // Time in which callers read the last answers and close their connections.
 constexpr milliseconds kMaxCloseTime{200};
 // Time reserved between the end of the drain and the required exit of the
@@ -194,7 +196,8 @@
     CallResult result;
     const bool decoded = DecodeCall(exchange.head(), clock_.Now(), call);
     const auto pass = decoded
-                          ? gate_.Enter(call.route, RequestGate::Origin::kRelay)
+                          ? gate_.Enter(call.route, RequestGate::Origin::kRelay,
+                                        call.deadline)
                           : nullptr;
     const stream::ErrorCode error = co_await exchange.ReadBody(call.body);
     if (error) {
@@ -214,6 +217,8 @@
     if (!pass) {
       metrics_.Count("yuccastair_stopping_refusals_total", {{"from", "relay"}});
       result = CallResult::NotRun(kRelayIsStopping);
+      result.load = target_proxy_.Load();
+      result.load->set_state(wire::TARGET_STATE_LEAVING);
     } else if (announced != nullptr && announced->service != call.service) {
       result = CallResult::NotRun("the target is of another service");
     } else {
@@ -400,30 +405,31 @@
   /// since the work at the end of the drain is cut off.
   Task<void> Drain() {
     support::LogInfo("relay.draining", {{"active", ActiveRequests()}});
-    const support::TimePoint began = clock_.Now();
-    const support::TimePoint end =
-        began +
+    const milliseconds time =
         std::max(milliseconds(0), settings_.shutdown_timeout - kExitMargin);
+    const support::TimePoint notice_end =
+        clock_.Now() +
+        std::min(kDepartureNoticeTime, time / kNoticeTimeDivisor);
+    const support::TimePoint end = clock_.Now() + time;
     control_link_.SyncNow();
     caller_server_.StartDraining();
     peer_server_.StartDraining();
-    co_await WaitUntil(std::min(end, began + kDepartureNoticeTime),
-                       [] { return false; });
-    gate_.SetState(RequestGate::State::kTargetCallsOnly);
+    co_await WaitUntil(notice_end, [] { return false; });
+    gate_.Close();
     caller_server_.CloseIdle();
-    peer_server_.CloseIdle();
     const auto all_answered = [this] { return gate_.inside().empty(); };
-    co_await WaitUntil(end - kMinCallTime, all_answered);
-    gate_.SetState(RequestGate::State::kClosed);
+    co_await WaitUntil(std::min(end, notice_end + kTargetCallTime),
+                       all_answered);
+    gate_.SetLatestDeadline(end);
     co_await WaitUntil(end, all_answered);
+    for (const auto& [route, count] : gate_.inside())
+      metrics_.Count("yuccastair_requests_cut_total", {{"route", route}},
+                     static_cast<double>(count));
     caller_server_.StopListening();
     peer_server_.StopListening();
     co_await WaitUntil(clock_.Now() + kMaxCloseTime, [this] {
       return caller_server_.connections() + peer_server_.connections() == 0;
     });
-    for (const auto& [route, count] : gate_.inside())
-      metrics_.Count("yuccastair_requests_cut_total", {{"route", route}},
-                     static_cast<double>(count));
     context_.stop();
   }
 
--- a/lib/relay/request_gate.h
+++ b/lib/relay/request_gate.h
@@ -9,6 +9,8 @@
 #include <string>
 #include <utility>
 
+#include "yuccastair/support/clock.h"
+
 namespace yuccastair::relay {
 
 /// Reason that callers and other relays get for a refusal by the gate.
@@ -28,13 +30,6 @@
     /// Another relay, for the local target.
     kRelay,
   };
-  enum class State {
-    kOpen,
-    /// Admits only what the requests inside need to end.
-    kTargetCallsOnly,
-    kClosed,
-  };
-
   /// Counts a request for as long as it exists. May outlive the gate.
   class Pass {
    public:
@@ -55,20 +50,25 @@
     const std::string route_;
   };
 
-  /// Returns null if the request must be refused.
-  std::unique_ptr<Pass> Enter(const std::string& route, Origin origin) {
-    const bool admitted =
-        state_ == State::kOpen ||
-        (state_ == State::kTargetCallsOnly && origin == Origin::kTargetCall);
-    if (!admitted) {
+  /// Returns null if the request must be refused. \p deadline is the latest
+  /// time at which it ends.
+  std::unique_ptr<Pass> Enter(const std::string& route,
+                              Origin origin,
+                              support::TimePoint deadline) {
+    const bool needed =
+        origin == Origin::kTargetCall && deadline <= latest_deadline_;
+    if (closed_ && !needed) {
       ++refused_[origin];
       return nullptr;
     }
     return std::make_unique<Pass>(counts_, route);
   }
 
-  void SetState(State state) { state_ = state; }
-  State state() const { return state_; }
+  /// Admits only what the requests inside need to end.
+  void Close() { closed_ = true; }
+  bool closed() const { return closed_; }
+  /// Once closed, admits only what ends by \p time.
+  void SetLatestDeadline(support::TimePoint time) { latest_deadline_ = time; }
 
   /// Number of requests from \p origin that were refused.
   std::size_t refused(Origin origin) const {
@@ -79,7 +79,8 @@
   const RouteCounts& inside() const { return *counts_; }
 
  private:
-  State state_ = State::kOpen;
+  bool closed_ = false;
+  support::TimePoint latest_deadline_ = support::TimePoint::max();
   std::map<Origin, std::size_t> refused_;
   // Routes without requests have no entry.
   const std::shared_ptr<RouteCounts> counts_ = std::make_shared<RouteCounts>();
--- a/lib/relay/request_handler.cc
+++ b/lib/relay/request_handler.cc
@@ -64,7 +64,8 @@
   Rejection rejection;
   const bool prepared = Prepare(exchange.head(), request, rejection);
   const auto pass =
-      prepared ? deps_.gate.Enter(request.call.route, OriginOf(request))
+      prepared ? deps_.gate.Enter(request.call.route, OriginOf(request),
+                                  request.call.deadline)
                : nullptr;
   const stream::ErrorCode error = co_await exchange.ReadBody(request.call.body);
   if (error) {
@@ -205,7 +206,7 @@
 
 RequestGate::Origin RequestHandler::OriginOf(const Request& request) const {
   // An open gate does not depend on the origin.
-  if (deps_.gate.state() == RequestGate::State::kOpen)
+  if (!deps_.gate.closed())
     return RequestGate::Origin::kCaller;
   // Not only open routes are called by targets if there are no organisations.
   const bool from_target =
--- a/lib/stream/server.cc
+++ b/lib/stream/server.cc
@@ -271,6 +271,10 @@
     idle_.insert(&stream);
     auto [error, bytes] = co_await stream.async_read_some(space, kAsTuple);
     idle_.erase(&stream);
+    // A request has crossed the end of the wait.
+    if (error == asio::error::operation_aborted &&
+        StateOf(stream.socket()) == SocketState::kReadable)
+      co_return true;
     if (error) {
       ErrorCode ignored;  // Closing cannot be retried.
       stream.socket().close(ignored);
--- a/unittests/platform/soak_layout.h
+++ b/unittests/platform/soak_layout.h
@@ -3,6 +3,7 @@
 #ifndef YUCCASTAIR_UNITTESTS_PLATFORM_SOAK_LAYOUT_H_
 #define YUCCASTAIR_UNITTESTS_PLATFORM_SOAK_LAYOUT_H_
 
+#include <chrono>
 #include <cstdint>
 #include <filesystem>
 #include <nlohmann/json.hpp>
@@ -55,7 +56,10 @@
   }
 
   /// The same for a relay beside a target.
-  std::string RelaySettings(int i, const support::Address& target) const {
+  std::string RelaySettings(int i,
+                            const support::Address& target,
+                            std::chrono::milliseconds shutdown_timeout =
+                                std::chrono::milliseconds(6000)) const {
     const std::string id = "relay-" + std::to_string(i);
     return dir_.Write(
         id + ".toml",
@@ -66,7 +70,9 @@
             TargetCalls(i).ToString() + "\"\nready_listen = \"" +
             Ready(i).ToString() + "\"\npeer_listen = \"" +
             RelayPort(i, 3).ToString() + "\"\nseeds = " + Seeds() +
-            "\nshutdown_timeout_ms = 6000\ndrain_time_ms = 2000\n");
+            "\nshutdown_timeout_ms = " +
+            std::to_string(shutdown_timeout.count()) +
+            "\ndrain_time_ms = 2000\n");
   }
 
   /// Each version keeps the routes of all earlier ones and adds one.
