--- a/unittests/platform/system_process.h
+++ b/unittests/platform/system_process.h
@@ -44,6 +44,12 @@
     if (pid_ > 0)
       kill(pid_, signal);
   }
+  /// Returns once no thread of the process runs, until SIGCONT.
+  void Freeze() {
+    Signal(SIGSTOP);
+    if (pid_ > 0)
+      waitpid(pid_, &status_, WUNTRACED);
+  }
   /// Returns whether the process has ended, and keeps its exit status.
   bool HasEnded() {
     if (pid_ > 0 && waitpid(pid_, &status_, WNOHANG) == pid_)
