--- a/unittests/process_fleet.h
+++ b/unittests/process_fleet.h
@@ -174,10 +174,14 @@
 /// 3i (callers), + 1 (own target) and + 2 (peers).
 class ProcessFleet {
  public:
+  /// Appends \p node_settings to the settings of each node.
   ProcessFleet(std::uint16_t base_port,
                int controls,
-               const std::vector<std::string>& node_zones)
-      : base_port_(base_port), control_count_(controls) {
+               const std::vector<std::string>& node_zones,
+               std::string node_settings = "")
+      : base_port_(base_port),
+        control_count_(controls),
+        node_settings_(std::move(node_settings)) {
     for (int i = 0; i < controls; ++i)
       StartControl(i);
     for (std::size_t i = 0; i < node_zones.size(); ++i) {
@@ -230,7 +234,7 @@
         zones_.at(index) + "\"\nlisten = \"" + CallerAddress(index).ToString() +
         "\"\ntarget_listen = \"" + TargetSideAddress(index).ToString() +
         "\"\npeer_listen = \"" + Local(22 + 3 * index).ToString() +
-        "\"\ncontrols = [" + controls + "]\n";
+        "\"\ncontrols = [" + controls + "]\n" + node_settings_;
     nodes_.erase(index);
     nodes_[index] =
         std::make_unique<Process>("node", dir_.Write(id + ".toml", text));
@@ -290,6 +294,7 @@
 
   const std::uint16_t base_port_;
   const int control_count_;
+  const std::string node_settings_;
   const TemporaryDir dir_;
   std::vector<std::string> zones_;
   std::map<int, std::unique_ptr<Process>> controls_;
