Refuse new requests of callers at the end of a node's notice time

Callers of a stopping node saw their connection closed without an answer while a target ran their request. Cause: Drain waited until no request was in a handler, while the server for callers accepted connections and requests until its end. With callers that never pause the wait lasted until the bound, and whatever was taken last was cut. Change: http::Server can be drained. From the signal on, a node's server for callers closes each connection after its answer. After the notice time it refuses, as not run, what is not in a handler yet and closes idle connections. The wait counts requests until their answer is written. Then the server stops listening and lets callers read their last answers. The server for the target stays open, so that accepted requests can end. node.drained counts the requests of callers without an answer. Why it works: the accepted requests can only become fewer.

--- a/include/yuccastair/http/server.h
+++ b/include/yuccastair/http/server.h
@@ -17,6 +17,9 @@
 /// Options::max_in_flight threads for each request. A request beyond them is
 /// refused at once and its connection closed. Connections without a request in
 /// a handler hold no thread.
+///
+/// A planned stop calls StartDraining(), RefuseRequests() and StopListening()
+/// in this order.
 class Server {
  public:
   using Handler = std::function<Response(const Request&)>;
@@ -30,8 +33,8 @@
     /// From the first byte of a header to its last one.
     std::chrono::milliseconds read_timeout{5000};
     Handler on_request;
-    /// Must not block. \p status is 503 for overload and 413 for a body over
-    /// max_body_bytes.
+    /// Must not block. \p status is 503 for overload and after
+    /// RefuseRequests(), and 413 for a body over max_body_bytes.
     std::function<Response(const Request&, int status)> on_refused;
   };
 
@@ -43,7 +46,19 @@
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
 
-  std::size_t in_flight() const;
+  /// Closes each connection after its next answer.
+  void StartDraining();
+  /// Refuses the requests that are not in a handler yet, and closes idle
+  /// connections. Requests in a handler are finished. When this returns,
+  /// unanswered() can only fall.
+  void RefuseRequests();
+  /// Stops listening and closes idle connections.
+  void StopListening();
+
+  /// Requests that were handed to a handler and whose answer is not written.
+  std::size_t unanswered() const;
+  /// Open connections, those included whose last answer is on its way.
+  std::size_t connections() const;
 
  private:
   class Impl;
--- a/include/yuccastair/node/node.h
+++ b/include/yuccastair/node/node.h
@@ -20,8 +20,9 @@
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
 
-  /// Announces that the node is leaving, stops accepting new calls and waits
-  /// for the running ones, at most Settings::shutdown_timeout.
+  /// Announces that the node is leaving and serves until others have noticed.
+  /// Then it refuses new requests of callers and calls of other nodes, and
+  /// waits for those that it has accepted, at most Settings::shutdown_timeout.
   void Drain();
 
  private:
--- a/lib/http/server.cc
+++ b/lib/http/server.cc
@@ -5,7 +5,10 @@
 
 #include <algorithm>
 #include <atomic>
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
+#include <functional>
+#include <future>
 #include <memory>
 #include <string>
 #include <thread>
@@ -97,9 +100,56 @@
       handler.join();
   }
 
-  std::size_t in_flight() const { return in_flight_; }
+  void StartDraining() {
+    RunOnLoop([this] { server_.StartDraining(); });
+  }
+
+  void RefuseRequests() {
+    RunOnLoop([this] {
+      refusing_ = true;
+      server_.StartDraining();
+      server_.CloseIdle();
+    });
+  }
+
+  void StopListening() {
+    RunOnLoop([this] { server_.StopListening(); });
+  }
+
+  std::size_t unanswered() const { return unanswered_; }
+
+  std::size_t connections() {
+    std::size_t count = 0;
+    RunOnLoop([this, &count] { count = server_.connections(); });
+    return count;
+  }
 
  private:
+  /// Counts a request for as long as it exists.
+  class UnansweredRequest {
+   public:
+    explicit UnansweredRequest(std::atomic<std::size_t>& count)
+        : count_(count) {
+      ++count_;
+    }
+    ~UnansweredRequest() { --count_; }
+    UnansweredRequest(const UnansweredRequest&) = delete;
+    UnansweredRequest& operator=(const UnansweredRequest&) = delete;
+
+   private:
+    std::atomic<std::size_t>& count_;
+  };
+
+  /// Runs \p task on the loop's thread and waits for its end.
+  void RunOnLoop(const std::function<void()>& task) {
+    const auto done = std::make_shared<std::promise<void>>();
+    stream::asio::post(context_, [&task, done] {
+      task();
+      done->set_value();
+    });
+    done->get_future().wait();
+  }
+
   /// A request in its handler.
   struct Job {
     explicit Job(stream::asio::io_context& context)
@@ -135,11 +185,12 @@
       co_return;
     }
     request.body = std::move(body.begin);
-    if (in_flight_ >= options_.max_in_flight) {
+    if (refusing_ || in_flight_ >= options_.max_in_flight) {
       Response refusal = Refuse(request, 503);
       co_await Deliver(exchange, std::move(refusal));
       co_return;
     }
+    const UnansweredRequest unanswered(unanswered_);
     co_await Handle(exchange, job);
     Response response = std::move(job->response);
     co_await Deliver(exchange, std::move(response));
@@ -190,9 +241,16 @@
   }
 
   const Options options_;
+  // Requests in a handler or on their way to it.
   std::atomic<std::size_t> in_flight_ = 0;
+  std::atomic<std::size_t> unanswered_ = 0;
+  // Used on the loop's thread only.
+  bool refusing_ = false;
   support::BoundedRing<std::shared_ptr<Job>> jobs_;
   stream::asio::io_context context_{1};
+  // Keeps the loop running after the end of the last connection.
+  stream::asio::executor_work_guard<stream::asio::io_context::executor_type>
+      loop_work_{context_.get_executor()};
   stream::Server server_;
   // Used on the loop's thread only, and after its end.
   std::vector<std::thread> handlers_;
@@ -204,8 +262,24 @@
 
 Server::~Server() = default;
 
-std::size_t Server::in_flight() const {
-  return impl_->in_flight();
+void Server::StartDraining() {
+  impl_->StartDraining();
+}
+
+void Server::RefuseRequests() {
+  impl_->RefuseRequests();
+}
+
+void Server::StopListening() {
+  impl_->StopListening();
+}
+
+std::size_t Server::unanswered() const {
+  return impl_->unanswered();
+}
+
+std::size_t Server::connections() const {
+  return impl_->connections();
 }
 
 }  // namespace yuccastair::http
--- a/lib/node/node.cc
+++ b/lib/node/node.cc
@@ -32,6 +32,8 @@
 constexpr milliseconds kDrainPollInterval{20};
 // Within this time every other node syncs once after the announcement.
 constexpr milliseconds kLeaveNoticeTime{1500};
+// Time in which callers read the last answers and close their connections.
+constexpr milliseconds kMaxCloseTime{200};
 constexpr milliseconds kReplyFlushTime{200};
 
 std::optional<wire::CurveKeyPair> MakeCurveKeyPair(const Settings& settings) {
@@ -98,26 +100,44 @@
   // destroyed before them.
   ~Impl() { target_executor_.Stop(); }
 
+  /// Ends with the work that was accepted. Requests are accepted while others
+  /// notice that the node leaves; from then on they are refused, since the work
+  /// at the end of the drain is cut off.
   void Drain() {
     leaving_ = true;
     target_executor_.ReportLeaving();
+    caller_server_.StartDraining();
     sync_client_.Wake();
-    const auto started = support::SteadyClock().Now();
-    std::this_thread::sleep_for(
-        std::min(kLeaveNoticeTime, settings_.shutdown_timeout));
+    const support::TimePoint started = clock_.Now();
+    const support::TimePoint end = started + settings_.shutdown_timeout;
+    WaitUntil(std::min(end, started + kLeaveNoticeTime), [] { return false; });
+    caller_server_.RefuseRequests();
     target_executor_.StartDraining();
-    while (support::SteadyClock().Now() - started <
-               settings_.shutdown_timeout &&
-           (target_executor_.unreplied_calls() > 0 ||
-            caller_server_.in_flight() > 0))
-      std::this_thread::sleep_for(kDrainPollInterval);
+    // The target's calls are served until the requests that it runs for others
+    // are answered.
+    WaitUntil(end, [this] {
+      return target_executor_.unreplied_calls() == 0 &&
+             caller_server_.unanswered() == 0;
+    });
+    const std::size_t cut_callers = caller_server_.unanswered();
+    const std::size_t cut_calls = target_executor_.unreplied_calls();
+    caller_server_.StopListening();
+    WaitUntil(clock_.Now() + kMaxCloseTime,
+              [this] { return caller_server_.connections() == 0; });
     // The transport may still be sending the last replies.
     std::this_thread::sleep_for(kReplyFlushTime);
     support::LogInfo("node.drained",
-                     {{"running", target_executor_.unreplied_calls()}});
+                     {{"running", cut_calls}, {"unanswered", cut_callers}});
   }
 
  private:
+  /// Waits for \p done, at most until \p end.
+  template <typename Condition>
+  void WaitUntil(support::TimePoint end, Condition done) const {
+    while (clock_.Now() < end && !done())
+      std::this_thread::sleep_for(kDrainPollInterval);
+  }
+
   void RegisterGauges() {
     observe::Metrics& metrics = telemetry_.metrics();
     metrics.RegisterGauge("yuccastair_target_limit",
--- a/lib/node/request_handler.cc
+++ b/lib/node/request_handler.cc
@@ -279,7 +279,8 @@
         NotRunReply("read request", "the request is malformed", status), "");
   if (status == 503)
     return MakeResponse(
-        NotRunReply("accept", "the node has too many requests in flight",
+        NotRunReply("accept",
+                    "the node is stopping or has too many requests in flight",
                     status),
         "");
   // The handler failed or its response could not be sent, so a target may have
--- a/unittests/http/server_test.cc
+++ b/unittests/http/server_test.cc
@@ -6,10 +6,12 @@
 
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <condition_variable>
 #include <mutex>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "raw_socket.h"
@@ -78,6 +80,8 @@
         changed_.wait_for(lock, kHangLimit, [&] { return waiting_ >= count; }));
   }
 
+  Server& server() { return *server_; }
+
  private:
   mutable std::mutex mutex_;
   std::condition_variable changed_;
@@ -303,5 +307,40 @@
   CHECK(server.requests().size() == kInFlight);
 }
 
+TEST_CASE("a stopping server cuts off no request in a handler") {
+  const std::string request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+  EchoServer server;
+  server.Hold();
+  RawConnection idle = RawConnection::To(kPort);
+  RawConnection accepted = RawConnection::To(kPort);
+  RawConnection begun = RawConnection::To(kPort);
+  accepted.Send(request);
+  server.WaitForHeld(1);
+  begun.Send("POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nx");
+  RawConnection late = RawConnection::To(kPort);
+  server.server().RefuseRequests();
+  CHECK(idle.ReadToEnd().empty());
+  begun.Send("x");
+  CHECK(StatusOf(begun.ReadToEnd()) == "503");
+  RawConnection next = RawConnection::To(kPort);
+  next.Send(request);
+  CHECK(StatusOf(next.ReadToEnd()) == "503");
+  CHECK(server.server().unanswered() == 1);
+  server.Release();
+  CHECK(BodyOf(accepted.ReadMessage()) == "/a");
+  server.server().StopListening();
+  CHECK(accepted.ReadToEnd().empty());
+  for (RawConnection* connection : {&idle, &accepted, &begun, &late, &next})
+    connection->Close();
+  const auto end = std::chrono::steady_clock::now() + kHangLimit;
+  while (server.server().connections() > 0 &&
+         std::chrono::steady_clock::now() < end)
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  CHECK(server.server().unanswered() == 0);
+  CHECK(server.server().connections() == 0);
+  CHECK_THROWS(RawConnection::To(kPort));
+  CHECK(server.requests().size() == 1);
+}
+
 }  // namespace
 }  // namespace yuccastair::http
