Make the time of the gate's test a constant expression

Cause: clang-tidy names a global constant that is no constant expression like a variable; the whole lint failed on it, and on nothing else. Change: constexpr; no check changes.

--- a/unittests/relay/request_gate_test.cc
+++ b/unittests/relay/request_gate_test.cc
@@ -11,7 +11,7 @@
 
 using Origin = RequestGate::Origin;
 
-const support::TimePoint kEnd{std::chrono::seconds(10)};
+constexpr support::TimePoint kEnd{std::chrono::seconds(10)};
 constexpr std::chrono::milliseconds kInstant{1};
 
 TEST_CASE("a stopping relay takes only the calls that its requests need") {
