--- a/unittests/platform/planned_stop_test.cc
+++ b/unittests/platform/planned_stop_test.cc
@@ -354,7 +354,7 @@
 
 TEST_CASE("a relay with little time to stop cuts no request either") {
   constexpr int kCallers = 12;
-  StoppingRelay system(6, 3700ms);
+  StoppingRelay system(6, 3200ms);
   for (int i = 0; i < kCallers; ++i)
     system.StartCaller(kStopped);
   system.RunFor(kServiceTime);
