--- a/review/stand_in/net.h
+++ b/review/stand_in/net.h
@@ -310,6 +310,11 @@
   const int fd = Connect(address, until);
   if (fd < 0)
     return exchange;
+  if (pause.count() > 0) {
+    // A slow reader does not let the kernel read ahead for it.
+    const int bytes = 65536;
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+  }
   exchange.sent = SendAll(fd, Serialize(method, path, headers, body), until);
   Reader reader(fd);
   reader.piece = piece;
