--- a/review/stand_in/fleet.h
+++ b/review/stand_in/fleet.h
@@ -394,11 +394,12 @@
     return std::string("zone-") + static_cast<char>('a' + number % 3);
   }
 
-  Machine& AddSidecar(const std::string& service) {
+  /// Adds a machine in the zone of the given number, or each in the next zone.
+  Machine& AddSidecar(const std::string& service, int zone = -1) {
     const int number = static_cast<int>(sidecars_.size());
     sidecars_.push_back(std::make_unique<Machine>(
-        setup_, "sidecar-" + std::to_string(number), ZoneOf(number),
-        10 + number));
+        setup_, "sidecar-" + std::to_string(number),
+        ZoneOf(zone < 0 ? number : zone), 10 + number));
     CheckPorts(*sidecars_.back());
     sidecars_.back()->StartRelay(service, seeds_);
     return *sidecars_.back();
