--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -1,108 +1,137 @@
-// Answers that clients read slowly but steadily are cut off once a configuration
-// has shortened the time that a connection may be idle.
+// An order that a control process reads late takes an evacuation back that was
+// ordered after it.
 
 #include "fleet.h"
 
 namespace review {
 namespace {
 
-constexpr Ms kDeadline{40000};
-// Read at some 3 MB a second, without a pause of more than 20 ms.
-constexpr std::size_t kBodyBytes = std::size_t{16} << 20;
-constexpr std::size_t kReadBytes = 65536;
-constexpr Ms kReadPause{20};
-constexpr int kReaders = 6;
-constexpr int kIdleMs = 15000;
-constexpr int kShortIdleMs = 1000;
+// The sites name 3.5 s and more.
+constexpr Ms kFreeze{1500};
+// An order that is read late is passed on only if the process knows the leader
+// again by then, so it takes some attempts.
+constexpr Ms kAttemptsEnd{85000};
+constexpr int kAttemptsWithoutTrouble = 2;
 
-bool ServeLong(AppServer& server, const Message& request, int fd) {
-  if (request.path.find("/long") == std::string::npos)
-    return AppServer::Serve(server, request, fd);
-  const auto until = SteadyClock::now() + kDeadline;
-  if (!SendAll(fd,
-               AppServer::Head(request, 200) +
-                   "Content-Length: " + std::to_string(kBodyBytes) + "\r\n\r\n",
-               until))
-    return false;
-  const std::string piece(65536, 'x');
-  for (std::size_t sent = 0; sent < kBodyBytes; sent += piece.size()) {
-    if (server.stopping() || !SendAll(fd, piece, until))
-      return false;
-  }
-  return true;
+bool Evacuate(Fleet& fleet, const std::string& zone, bool out, int first) {
+  const std::string path = std::string("/yuccastair/Evacuations.") +
+                           (out ? "Start/" : "End/") + zone;
+  return fleet.Order("POST", path, "", first) / 100 == 2;
+}
+
+int CountRuns(const AppServer& server, std::int64_t from) {
+  int count = 0;
+  for (const Arrival& arrival : server.arrivals())
+    count += arrival.run && arrival.at > from ? 1 : 0;
+  return count;
 }
 
-json Configuration(int version, int base, int idle_ms) {
-  json route = MakeRoute("read", "safe", "orders");
-  route["timeoutMs"] = 60000;
-  json configuration = MakeConfiguration(
-      version, base, json::array({route}),
-      json::array({MakeService("front"), MakeService("orders")}));
-  configuration["limits"]["idleTimeoutMs"] = idle_ms;
-  return configuration;
+/// Returns how many orders the control processes say that they have carried out.
+int CountOperations(Fleet& fleet) {
+  int count = 0;
+  for (int i = 0; i < Fleet::kControls; ++i) {
+    const std::string log = fleet.control(i).process().Log();
+    const std::string mark = "\"event\":\"policy.operated\"";
+    for (std::size_t at = log.find(mark); at != std::string::npos;
+         at = log.find(mark, at + 1))
+      ++count;
+  }
+  return count;
 }
 
-/// Lets clients read long answers slowly; returns how many are cut off before
-/// seven tenths of their time have passed.
-int CutAnswers(Setup& setup, Fleet& fleet, Machine& machine, int round) {
-  std::atomic<int> cut = 0;
-  std::vector<std::thread> readers;
-  for (int i = 0; i < kReaders; ++i) {
-    readers.emplace_back([&, i] {
-      const std::string id =
-          "long-" + std::to_string(round) + "-" + std::to_string(i);
-      const std::int64_t began = setup.record.Now();
-      const Exchange exchange =
-          fleet.Request(machine, "GET", "/read/long", id, kDeadline, "",
-                        kReadBytes, kReadPause);
-      const std::int64_t took = setup.record.Now() - began;
-      setup.record.Add(
-          id + ": " + std::to_string(exchange.answer.body.size()) + " of " +
-          std::to_string(kBodyBytes) + " bytes in " + std::to_string(took) +
-          " ms");
-      if (exchange.status == 200 && !exchange.whole &&
-          took < kDeadline.count() * 7 / 10)
-        ++cut;
-    });
+/// Takes an evacuation back and orders it again while a control process stands
+/// still. Returns how many requests reach the zone although it is evacuated.
+int Attempt(Setup& setup,
+            Fleet& fleet,
+            const AppServer& evacuated,
+            const std::string& zone) {
+  if (!Evacuate(fleet, zone, true, 0))
+    setup.CannotRun("the first evacuation is not acknowledged");
+  Sleep(Ms(500));
+  const int leader = fleet.Leader();
+  const int stopped = (leader + 1) % Fleet::kControls;
+  const int other = (leader + 2) % Fleet::kControls;
+  setup.record.Add("leader: " + fleet.control(leader).name());
+  const auto thaw = SteadyClock::now() + kFreeze;
+  if (setup.trouble) {
+    fleet.control(stopped).process().Signal(SIGSTOP);
+    setup.record.Add(fleet.control(stopped).name() + ": freezes");
+  }
+  // The operator turns to the node that stands still first, and to the next one
+  // after a second.
+  if (!Evacuate(fleet, zone, false, stopped))
+    setup.CannotRun("the end of the evacuation is not acknowledged");
+  Sleep(Ms(100));
+  if (!Evacuate(fleet, zone, true, other))
+    setup.CannotRun("the second evacuation is not acknowledged");
+  const std::int64_t acknowledged = setup.record.Now();
+  Sleep(Ms(50));
+  const int operations = CountOperations(fleet);
+  std::this_thread::sleep_until(thaw);
+  if (setup.trouble) {
+    fleet.control(stopped).process().Signal(SIGCONT);
+    setup.record.Add(fleet.control(stopped).name() + ": wakes");
   }
-  for (std::thread& reader : readers)
-    reader.join();
-  return cut;
+  const std::int64_t woken = setup.record.Now();
+  Sleep(Ms(400));
+  // Nothing was carried out after the second evacuation.
+  if (CountOperations(fleet) == operations)
+    return 0;
+  // All machines are in touch again after contactMs.
+  const std::int64_t from =
+      std::max(acknowledged + kEvacuationDeadline.count(),
+               woken + kContact.count());
+  Sleep(Ms(from - setup.record.Now() + 4000));
+  return CountRuns(evacuated, from);
 }
 
 int Run(Setup& setup) {
   Fleet fleet(setup);
+  // The clients' machine runs a service of its own; the two servers that they
+  // use are in two other zones.
   std::vector<std::unique_ptr<AppServer>> servers;
-  for (int i = 0; i < 2; ++i) {
+  for (int i = 0; i < 3; ++i) {
     const std::string service = i == 0 ? "front" : "orders";
-    servers.push_back(std::make_unique<AppServer>(
-        setup, fleet.AddSidecar(service), service, "i-" + std::to_string(i),
-        ServeLong));
+    servers.push_back(std::make_unique<AppServer>(setup,
+                                                  fleet.AddSidecar(service),
+                                                  service,
+                                                  "i-" + std::to_string(i)));
     servers.back()->Start();
   }
   Machine& calm = fleet.sidecar(0);
-  if (fleet.Put(Configuration(1, 0, kIdleMs)) != 200)
+  AppServer& evacuated = *servers[1];
+  const std::string zone = fleet.sidecar(1).zone();
+  if (fleet.Put(MakeConfiguration(
+          1, 0, json::array({MakeRoute("read", "safe", "orders")}),
+          json::array({MakeService("front"), MakeService("orders")}))) != 200)
     setup.CannotRun("the configuration is not accepted");
   fleet.AwaitReady();
-  fleet.AwaitService(calm, "/read/x", *servers[1]);
+  fleet.AwaitService(calm, "/read/x", evacuated);
+  fleet.AwaitService(calm, "/read/x", *servers[2]);
+  // Clients of the machine in the zone that stays in service, so that all
+  // requests come from a machine in touch.
+  Clients clients(fleet, {&calm}, "/read/x", "c-", Ms(20));
   Sleep(kContact);
 
-  const int before = CutAnswers(setup, fleet, calm, 1);
-  if (setup.trouble && fleet.Put(Configuration(2, 1, kShortIdleMs)) != 200)
-    setup.CannotRun("the second configuration is not accepted");
-  // The relays learn of it with their next sync.
-  Sleep(Ms(700));
-  const int beside = CutAnswers(setup, fleet, calm, 2);
-  if (setup.trouble && fleet.Put(Configuration(3, 2, kIdleMs)) != 200)
-    setup.CannotRun("the third configuration is not accepted");
-  Sleep(kConfig + Ms(1500));
-  const int after = CutAnswers(setup, fleet, calm, 3);
-  const std::string counts = std::to_string(beside) + " of " +
-                             std::to_string(kReaders) +
-                             " answers were cut off beside the change, " +
-                             std::to_string(before + after) + " of " +
-                             std::to_string(2 * kReaders) + " at other times";
-  return Finish(setup, beside > 0 && 2 * beside > 3 * (before + after), counts);
+  int late = 0;
+  int attempts = 0;
+  while (setup.record.Now() < kAttemptsEnd.count() &&
+         (setup.trouble || attempts < kAttemptsWithoutTrouble)) {
+    ++attempts;
+    late = Attempt(setup, fleet, evacuated, zone);
+    if (late > 0)
+      break;
+    if (!Evacuate(fleet, zone, false, 0))
+      setup.CannotRun("the zone is not taken back");
+    Sleep(Ms(300));
+  }
+  clients.Stop();
+  return Finish(setup, late > 0,
+                std::to_string(late) + " requests reached the server of " +
+                    zone + " later than " +
+                    std::to_string(kEvacuationDeadline.count()) +
+                    " ms after its evacuation was acknowledged, in attempt " +
+                    std::to_string(attempts));
 }
 
 }  // namespace
--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -1,109 +1,83 @@
-// Spoiled long answers of the own server take its slots for good.
+// A relay that was started again acknowledges that its server leaves, and
+// forgets it.
 
 #include "fleet.h"
 
 namespace review {
 namespace {
 
-// The dose of the site: `garble` on a share of the servers for 5 to 5.5 s.
-constexpr Ms kGarbleTime{5000};
-constexpr double kGarbledShare = 0.05;
-constexpr std::size_t kLongBytes = 100000;
-constexpr int kCallers = 10;
-constexpr Ms kPause{5};
-// Requests of each kind whose answers are judged.
-constexpr int kJudged = 200;
+constexpr Ms kDown{500};
+// A heartbeat that was sent before the server left arrives so late.
+constexpr Ms kLateness{3000};
+// The server serves on for so long after the acknowledgement.
+constexpr Ms kServedOn{10000};
 
 int Run(Setup& setup) {
-  std::atomic<bool> garbling = false;
-  std::atomic<int> answers = 0;
-  std::atomic<int> spoiled = 0;
-  const auto work = [&](AppServer& server, const Message& request, int fd) {
-    const int number = ++answers;
-    const bool spoils =
-        garbling && static_cast<int>(number * kGarbledShare) !=
-                        static_cast<int>((number - 1) * kGarbledShare);
-    if (!spoils)
-      return AppServer::Serve(server, request, fd);
-    ++spoiled;
-    setup.record.Add("server " + server.id() + ": spoils the answer to " +
-                     request.Header("x-attempt-id"));
-    return SendAll(fd,
-                   AppServer::Head(request, 200) +
-                       "Content-Encoding: gzip\r\nContent-Length: " +
-                       std::to_string(kLongBytes) + "\r\n\r\n" +
-                       std::string(kLongBytes, 'x'),
-                   SteadyClock::now() + std::chrono::seconds(5));
-  };
   Fleet fleet(setup);
+  // The clients' machine runs a service of its own; the two servers that they
+  // use are in two other zones.
   std::vector<std::unique_ptr<AppServer>> servers;
-  for (int i = 0; i < 2; ++i) {
+  for (int i = 0; i < 3; ++i) {
     const std::string service = i == 0 ? "front" : "orders";
-    servers.push_back(std::make_unique<AppServer>(
-        setup, fleet.AddSidecar(service), service, "i-" + std::to_string(i),
-        i == 0 ? AppServer::Work(AppServer::Serve) : AppServer::Work(work)));
+    servers.push_back(std::make_unique<AppServer>(setup,
+                                                  fleet.AddSidecar(service),
+                                                  service,
+                                                  "i-" + std::to_string(i)));
     servers.back()->Start();
   }
-  Machine& own = fleet.sidecar(1);
+  Machine& calm = fleet.sidecar(0);
+  AppServer& leaving = *servers[1];
   if (fleet.Put(MakeConfiguration(
-          1, 0,
-          json::array({MakeRoute("order", "unsafe", "orders"),
-                       MakeRoute("view", "safe", "front")}),
+          1, 0, json::array({MakeRoute("read", "safe", "orders")}),
           json::array({MakeService("front"), MakeService("orders")}))) != 200)
     setup.CannotRun("the configuration is not accepted");
   fleet.AwaitReady();
-  fleet.AwaitService(own, "/order/x", *servers[1]);
-  fleet.AwaitService(own, "/view/x", *servers[0]);
+  fleet.AwaitService(calm, "/read/x", leaving);
+  fleet.AwaitService(calm, "/read/x", *servers[2]);
+  Clients clients(fleet, {&calm}, "/read/x", "c-", Ms(20));
   Sleep(kContact);
 
-  // Clients on the machine of the server that spoils some of its answers.
-  std::atomic<bool> finished = false;
-  std::vector<std::thread> callers;
-  for (int i = 0; i < kCallers; ++i) {
-    callers.emplace_back([&, i] {
-      for (int k = 0; !finished; ++k) {
-        fleet.Request(own, "POST", "/order/x",
-                      "order-" + std::to_string(i) + "-" + std::to_string(k),
-                      Ms(2000), "order");
-        Sleep(kPause);
-      }
-    });
+  // The next heartbeat is due kHeartbeat after this one.
+  leaving.StopBeating();
+  if (leaving.Beat(leaving.NextBeat()) / 100 != 2)
+    setup.CannotRun("a heartbeat is not acknowledged");
+  const auto due = SteadyClock::now() + kHeartbeat;
+  if (setup.trouble)
+    fleet.sidecar(1).Restart(kDown);
+  const std::int64_t started = setup.record.Now();
+  std::this_thread::sleep_until(due);
+  const std::string late = leaving.NextBeat();
+  setup.record.Add("server i-1: sends a heartbeat, which will be late");
+  Sleep(Ms(200));
+  // This server never reports that it is draining.
+  int status = 0;
+  for (int i = 0; i < 20 && status / 100 != 2; ++i) {
+    status = leaving.Deregister();
+    Sleep(Ms(20));
   }
-  Sleep(Ms(1000));
-  garbling = setup.trouble;
-  setup.record.Add("spoiling begins");
-  Sleep(kGarbleTime);
-  garbling = false;
-  setup.record.Add("spoiling ends");
+  if (status / 100 != 2)
+    setup.CannotRun("the server's leaving is not acknowledged");
+  const std::int64_t acknowledged = setup.record.Now();
+  setup.record.Add("server i-1: leaves, acknowledged");
+  std::this_thread::sleep_until(due + kLateness);
+  setup.record.Add("server i-1: the late heartbeat arrives, answered " +
+                   std::to_string(leaving.Beat(late)));
+  Sleep(Ms(acknowledged + kServedOn.count() - setup.record.Now()));
+  const std::int64_t end = setup.record.Now();
+  leaving.Crash();
   Sleep(Ms(500));
-  finished = true;
-  for (std::thread& caller : callers)
-    caller.join();
-  // Long after the last disruption, one request at a time.
-  Sleep(Ms(15000));
-  int orders = 0;
-  int views = 0;
-  for (int i = 0; i < kJudged; ++i) {
-    orders += fleet.Request(own, "POST", "/order/x",
-                            "late-order-" + std::to_string(i), Ms(2000), "order")
-                          .status == 200
-                  ? 1
-                  : 0;
-    views += fleet.Request(own, "GET", "/view/x",
-                           "late-view-" + std::to_string(i), Ms(2000))
-                         .status == 200
-                 ? 1
-                 : 0;
-    Sleep(Ms(10));
-  }
-  // A kind of request is served less than a quarter as often as all requests.
-  const bool broken = 4 * orders * 2 < orders + views;
-  return Finish(setup, broken,
-                std::to_string(orders) + " of " + std::to_string(kJudged) +
-                    " orders and " + std::to_string(views) + " of " +
-                    std::to_string(kJudged) +
-                    " views were served 15 s after the last of " +
-                    std::to_string(spoiled) + " spoiled answers");
+  clients.Stop();
+
+  const std::int64_t from = std::max(acknowledged + kDrain.count(),
+                                     started + kContact.count());
+  int count = 0;
+  for (const Arrival& arrival : leaving.arrivals())
+    count += arrival.run && arrival.at > from && arrival.at < end ? 1 : 0;
+  return Finish(setup, count > 0,
+                std::to_string(count) +
+                    " requests reached the server later than " +
+                    std::to_string(kDrain.count()) +
+                    " ms after its relay acknowledged that it leaves");
 }
 
 }  // namespace
--- a/review/stand_in/net.h
+++ b/review/stand_in/net.h
@@ -211,6 +211,14 @@
     }
   }
 
+  /// Returns the bytes that arrive within \p time although nothing is due.
+  std::string TakeUnasked(Ms time) {
+    const auto until = SteadyClock::now() + time;
+    while (bytes_.empty() && Fill(until)) {
+    }
+    return std::exchange(bytes_, "");
+  }
+
   /// Whether the other side has closed the connection in good order.
   bool ended() const { return ended_; }
 
