--- a/review/3/case.cc
+++ b/review/3/case.cpp
@@ -1,7 +1,7 @@
 // An order that a control process reads late takes an evacuation back that was
 // ordered after it.
 
-#include "fleet.h"
+#include "fleet.hpp"
 
 namespace review {
 namespace {
@@ -26,7 +26,8 @@
   return count;
 }
 
-/// Returns how many orders the control processes say that they have carried out.
+/// Returns how many orders the control processes say that they have carried
+/// out.
 int CountOperations(Fleet& fleet) {
   int count = 0;
   for (int i = 0; i < Fleet::kControls; ++i) {
@@ -78,9 +79,8 @@
   if (CountOperations(fleet) == operations)
     return 0;
   // All machines are in touch again after contactMs.
-  const std::int64_t from =
-      std::max(acknowledged + kEvacuationDeadline.count(),
-               woken + kContact.count());
+  const std::int64_t from = std::max(acknowledged + kEvacuationDeadline.count(),
+                                     woken + kContact.count());
   Sleep(Ms(from - setup.record.Now() + 4000));
   return CountRuns(evacuated, from);
 }
@@ -92,10 +92,8 @@
   std::vector<std::unique_ptr<AppServer>> servers;
   for (int i = 0; i < 3; ++i) {
     const std::string service = i == 0 ? "front" : "orders";
-    servers.push_back(std::make_unique<AppServer>(setup,
-                                                  fleet.AddSidecar(service),
-                                                  service,
-                                                  "i-" + std::to_string(i)));
+    servers.push_back(std::make_unique<AppServer>(
+        setup, fleet.AddSidecar(service), service, "i-" + std::to_string(i)));
     servers.back()->Start();
   }
   Machine& calm = fleet.sidecar(0);
--- a/review/5/case.cc
+++ b/review/5/case.cpp
@@ -1,7 +1,7 @@
 // A relay that was started again acknowledges that its server leaves, and
 // forgets it.
 
-#include "fleet.h"
+#include "fleet.hpp"
 
 namespace review {
 namespace {
@@ -19,10 +19,8 @@
   std::vector<std::unique_ptr<AppServer>> servers;
   for (int i = 0; i < 3; ++i) {
     const std::string service = i == 0 ? "front" : "orders";
-    servers.push_back(std::make_unique<AppServer>(setup,
-                                                  fleet.AddSidecar(service),
-                                                  service,
-                                                  "i-" + std::to_string(i)));
+    servers.push_back(std::make_unique<AppServer>(
+        setup, fleet.AddSidecar(service), service, "i-" + std::to_string(i)));
     servers.back()->Start();
   }
   Machine& calm = fleet.sidecar(0);
@@ -68,8 +66,8 @@
   Sleep(Ms(500));
   clients.Stop();
 
-  const std::int64_t from = std::max(acknowledged + kDrain.count(),
-                                     started + kContact.count());
+  const std::int64_t from =
+      std::max(acknowledged + kDrain.count(), started + kContact.count());
   int count = 0;
   for (const Arrival& arrival : leaving.arrivals())
     count += arrival.run && arrival.at > from && arrival.at < end ? 1 : 0;
