Remember the deregistration of a process that has not announced itself

Callers saw: requests reached a target for as long as it lived, 3 to 10 s after its relay had acknowledged that it leaves (DRAIN, drainMs 2 s). The relay had just been restarted.

Cause: TargetTracker::Apply() dropped a deregistration whose process was not the known one, although the relay acknowledges every deregistration. A restarted relay knows no process. A heartbeat that the process had sent before arrived 3 s late and was taken for the first one of a ready target.

Evidence: the relay's log of the case. 31:47.4 relay.started; 31:48.6 target.announcement_ignored (the deregistration, sequence 0); 31:51.4 target.state_changed to UP with the same incarnation (the late heartbeat).

Change: the tracker keeps the id and start time of such a process and ignores its announcements, and those of earlier processes with its id. Without a start time the deregistration is bound to the first process that announces itself under the id, so that a later one is not shut out. The same gap existed beside a known predecessor: where a later process with the same id deregisters first, the target is now marked as leaving, since requests carry that id. The log line says whether a deregistration was ignored.

--- a/lib/relay/target_proxy.cc
+++ b/lib/relay/target_proxy.cc
@@ -132,10 +132,12 @@
 void TargetProxy::OnAnnouncement(const Announcement& announcement) {
   const auto change = tracker_.Apply(announcement);
   if (change == TargetTracker::AnnouncementEffect::kIgnored) {
-    support::LogInfo("target.announcement_ignored",
-                     {{"target", announcement.target_id},
-                      {"sequence", announcement.sequence},
-                      {"started_ms", announcement.started_ms}});
+    support::LogInfo(
+        "target.announcement_ignored",
+        {{"target", announcement.target_id},
+         {"deregistered", announcement.state == AnnouncedState::kDeregistered},
+         {"sequence", announcement.sequence},
+         {"started_ms", announcement.started_ms}});
     return;
   }
   zone_return_cold_until_ = {};
--- a/lib/relay/target_tracker.cc
+++ b/lib/relay/target_tracker.cc
@@ -8,11 +8,16 @@
 namespace {
 
 constexpr std::size_t kMaxPreviousTargetIds = 64;
+constexpr std::size_t kMaxDeregisteredProcesses = 64;
 // Time for which a target that may have restarted is assumed to be cold.
 // Targets announce themselves every 1 to 2 s, so the next announcement arrives
 // earlier.
 constexpr std::chrono::milliseconds kSuspectedRestartColdTime{4000};
 
+std::string IncarnationOf(const Announcement& announcement) {
+  return announcement.target_id + "/" + std::to_string(announcement.started_ms);
+}
+
 }  // namespace
 
 bool TargetTracker::IsStale(const Announcement& announcement) const {
@@ -29,9 +34,51 @@
   return announcement.sequence <= latest_announcement_->sequence;
 }
 
+bool TargetTracker::HasDeregistered(const Announcement& announcement) {
+  for (DeregisteredProcess& process : deregistered_processes_) {
+    if (process.target_id != announcement.target_id)
+      continue;
+    // Without a start time the deregistration is that of the first process to
+    // announce itself.
+    if (process.started_ms == 0)
+      process.started_ms = announcement.started_ms;
+    if (announcement.started_ms <= process.started_ms)
+      return true;
+  }
+  return false;
+}
+
+void TargetTracker::RememberDeregistration(const Announcement& announcement) {
+  if (HasDeregistered(announcement))
+    return;
+  deregistered_processes_.push_back(
+      {announcement.target_id, announcement.started_ms});
+  if (deregistered_processes_.size() > kMaxDeregisteredProcesses)
+    deregistered_processes_.pop_front();
+}
+
+TargetTracker::AnnouncementEffect TargetTracker::ApplyDeregistration(
+    const Announcement& announcement,
+    bool same) {
+  if (!same) {
+    RememberDeregistration(announcement);
+    if (!latest_announcement_ ||
+        latest_announcement_->target_id != announcement.target_id)
+      return AnnouncementEffect::kIgnored;
+    // A later process with the id of the known one has replaced it.
+    latest_announcement_->started_ms = announcement.started_ms;
+    incarnation_ = IncarnationOf(*latest_announcement_);
+  }
+  if (latest_announcement_->state == AnnouncedState::kReady)
+    leaving_since_ = clock_.Now();
+  latest_announcement_->state = AnnouncedState::kDeregistered;
+  latest_announcement_->sequence =
+      std::max(latest_announcement_->sequence, announcement.sequence);
+  return AnnouncementEffect::kUpdated;
+}
+
 TargetTracker::AnnouncementEffect TargetTracker::Apply(
     const Announcement& announcement) {
-  const bool gone = announcement.state == AnnouncedState::kDeregistered;
   if (latest_announcement_ && IsStale(announcement))
     return AnnouncementEffect::kIgnored;
   const bool same =
@@ -39,20 +86,11 @@
       latest_announcement_->target_id == announcement.target_id &&
       (latest_announcement_->started_ms == announcement.started_ms ||
        announcement.started_ms == 0);
-  if (gone) {
-    // The deregistration of a process that never announced itself affects no
-    // known target.
-    if (!same)
-      return AnnouncementEffect::kIgnored;
-    if (latest_announcement_->state == AnnouncedState::kReady)
-      leaving_since_ = clock_.Now();
-    latest_announcement_->state = AnnouncedState::kDeregistered;
-    latest_announcement_->sequence =
-        std::max(latest_announcement_->sequence, announcement.sequence);
-    return AnnouncementEffect::kUpdated;
-  }
+  if (announcement.state == AnnouncedState::kDeregistered)
+    return ApplyDeregistration(announcement, same);
   // A deregistered process does not return.
-  if (same && latest_announcement_->state == AnnouncedState::kDeregistered)
+  if ((same && latest_announcement_->state == AnnouncedState::kDeregistered) ||
+      HasDeregistered(announcement))
     return AnnouncementEffect::kIgnored;
   if (latest_announcement_ &&
       latest_announcement_->target_id != announcement.target_id) {
@@ -65,8 +103,7 @@
     leaving_since_ = clock_.Now();
   const bool restarted = latest_announcement_.has_value() && !same;
   latest_announcement_ = announcement;
-  incarnation_ = latest_announcement_->target_id + "/" +
-                 std::to_string(latest_announcement_->started_ms);
+  incarnation_ = IncarnationOf(*latest_announcement_);
   received_at_ = clock_.Now();
   connection_refused_ = false;
   restart_suspected_ = false;
--- a/lib/relay/target_tracker.h
+++ b/lib/relay/target_tracker.h
@@ -20,7 +20,8 @@
 class TargetTracker {
  public:
   enum class AnnouncementEffect {
-    /// The announcement is stale or belongs to a process that has stopped.
+    /// The known process is unchanged: the announcement is stale, or belongs to
+    /// a process that has stopped or that has not announced itself before.
     kIgnored,
     /// The known process has announced itself again.
     kUpdated,
@@ -59,7 +60,21 @@
   const std::string& Incarnation() const { return incarnation_; }
 
  private:
+  /// A process that deregistered before it announced itself to this relay.
+  struct DeregisteredProcess {
+    std::string target_id;
+    /// 0 if unknown, since a deregistration may carry no start time.
+    std::uint64_t started_ms = 0;
+  };
+
   bool IsStale(const Announcement& announcement) const;
+  /// Returns whether the sender of \p announcement, or a later process with the
+  /// same id, has deregistered without having announced itself.
+  bool HasDeregistered(const Announcement& announcement);
+  void RememberDeregistration(const Announcement& announcement);
+  /// \p same: whether the known process has sent \p announcement.
+  AnnouncementEffect ApplyDeregistration(const Announcement& announcement,
+                                         bool same);
 
   const support::Clock& clock_;
   const std::chrono::milliseconds drain_time_;
@@ -73,6 +88,8 @@
   // Ids of earlier processes, latest last, for targets that report no start
   // time.
   std::deque<std::string> previous_target_ids_;
+  // Latest last. Announcements that these processes sent before may be late.
+  std::deque<DeregisteredProcess> deregistered_processes_;
 };
 
 }  // namespace yuccastair::relay
--- a/unittests/relay/target_record_test.cc
+++ b/unittests/relay/target_record_test.cc
@@ -78,6 +78,62 @@
   CHECK(tracker_.Apply(Announced("a", 5, 7)) == AnnouncementEffect::kIgnored);
 }
 
+// Guards against a target that is taken for ready after its relay, which had
+// just restarted, acknowledged its deregistration.
+TEST_CASE_METHOD(TrackerFixture,
+                 "a target that deregisters first does not become available") {
+  tracker_.Apply(Announced("a", 5, 0, AnnouncedState::kDeregistered));
+  CHECK(tracker_.Apply(Announced("a", 5, 9)) == AnnouncementEffect::kIgnored);
+  CHECK(tracker_.State() == wire::TARGET_STATE_DOWN);
+  CHECK_FALSE(tracker_.AcceptsRequests());
+  SECTION("nor does an earlier process with its id") {
+    CHECK(tracker_.Apply(Announced("a", 4, 9)) == AnnouncementEffect::kIgnored);
+  }
+  SECTION("nor does one whose deregistration was sent twice") {
+    tracker_.Apply(Announced("a", 5, 0, AnnouncedState::kDeregistered));
+    CHECK(tracker_.Apply(Announced("a", 5, 9)) == AnnouncementEffect::kIgnored);
+  }
+  SECTION("a later process with its id does") {
+    CHECK(tracker_.Apply(Announced("a", 6, 1)) == AnnouncementEffect::kUpdated);
+    CHECK(tracker_.AcceptsRequests());
+  }
+  SECTION("a process with another id does") {
+    CHECK(tracker_.Apply(Announced("b", 6, 1)) == AnnouncementEffect::kUpdated);
+    CHECK(tracker_.AcceptsRequests());
+  }
+}
+
+// Guards against the same for targets that report no start time, and against
+// targets that never become available again.
+TEST_CASE_METHOD(TrackerFixture,
+                 "a deregistration without a start time affects one process") {
+  tracker_.Apply(Announced("a", 0, 0, AnnouncedState::kDeregistered));
+  CHECK(tracker_.Apply(Announced("a", 5, 9)) == AnnouncementEffect::kIgnored);
+  CHECK(tracker_.Apply(Announced("a", 6, 1)) == AnnouncementEffect::kUpdated);
+}
+
+// Guards against the same at a relay that knows the predecessor of the target.
+TEST_CASE_METHOD(TrackerFixture,
+                 "a successor that deregisters first does not become "
+                 "available") {
+  tracker_.Apply(Announced("a", 5, 9));
+  SECTION("under an id of its own") {
+    tracker_.Apply(Announced("b", 7, 0, AnnouncedState::kDeregistered));
+    CHECK(tracker_.Apply(Announced("b", 7, 1)) == AnnouncementEffect::kIgnored);
+    CHECK(tracker_.latest_announcement()->target_id == "a");
+  }
+  SECTION("under the same id") {
+    CHECK(tracker_.Apply(Announced("a", 7, 0, AnnouncedState::kDeregistered)) ==
+          AnnouncementEffect::kUpdated);
+    CHECK(tracker_.State() == wire::TARGET_STATE_LEAVING);
+    CHECK(tracker_.Apply(Announced("a", 7, 1)) == AnnouncementEffect::kIgnored);
+    CHECK(tracker_.Apply(Announced("a", 5, 10)) ==
+          AnnouncementEffect::kIgnored);
+    clock_.Advance(1000ms);
+    CHECK_FALSE(tracker_.AcceptsRequests());
+  }
+}
+
 // Guards against requests that reach a draining target after its drain time.
 TEST_CASE_METHOD(TrackerFixture,
                  "a draining target accepts requests for a while") {
