Refuse a zone order that may be older than the last one

Callers saw: requests reached the targets of a zone for good, although its evacuation had been acknowledged and not taken back (EVAC).

Cause: an order that a process reads late looks newer than those that others have executed meanwhile, and nothing in the order or in PolicyTable::SetZone() tells their sequence. The operator had given up on the frozen process after a second, had the evacuation ended and ordered anew by another one, and the frozen process executed the old order on waking. An order that waits on its way to the leader has the same effect. Changes of the policy and of the settings are safe, since each names the version that it builds on.

Evidence: the logs of the case. The leader commits index 6 (start), 7 (end, by core-2), 8 (start, by core-2), and 9 at 39.661917, 5 ms after core-1 has woken; core-1 answers Evacuations.End with 200 at 39.662272. The operator had given up on that call 2.1 s earlier.

Change: accepted zone changes are numbered, those without effect included, as they confirm the state. Each order carries the number of changes that its process had applied about half a second earlier, counted in samples that the process takes while it runs, so that a suspension does not move it on. The replicated table refuses an order where an opposite one with a higher number has been accepted; the operator gets 503 with the reason and may send it again. Checking for a closed connection would not do: the end of a connection may arrive after the order. The price: an order that follows an opposite one for the same zone within half a second gets 503 first.

--- a/include/yuccastair/policy/policy_table.h
+++ b/include/yuccastair/policy/policy_table.h
@@ -19,6 +19,8 @@
 /// succeeds only on top of the current version, so that of two operators that
 /// start from the same version one wins. A put that was accepted before is
 /// accepted again without effect, because its first answer may have been lost.
+/// A change of a zone succeeds only if no opposite one has been accepted since
+/// its operator can have sent it.
 class PolicyTable final : public consensus::StateMachine {
  public:
   /// Accepted changes that are remembered. A resend that comes after as many
@@ -40,7 +42,9 @@
 
  private:
   wire::PolicyStatus Put(const wire::PolicyPut& put);
-  void SetZone(const wire::ZoneChange& change);
+  wire::PolicyStatus SetZone(const wire::ZoneChange& change);
+  /// Returns the last accepted change of \p zone, with number 0 for none.
+  wire::AcceptedZoneChange& LastChangeOf(const std::string& zone);
   /// Derives what follows from state_.
   void Index();
 
--- /dev/null
+++ b/lib/control/change_horizon.h
@@ -0,0 +1,50 @@
+// The changes that an operator's request certainly follows.
+
+#ifndef YUCCASTAIR_LIB_CONTROL_CHANGE_HORIZON_H_
+#define YUCCASTAIR_LIB_CONTROL_CHANGE_HORIZON_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+
+#include "yuccastair/support/clock.h"
+
+namespace yuccastair::control {
+
+/// Remembers how many changes this process had applied a short while ago.
+///
+/// While a process is suspended, requests wait in its sockets. When it wakes,
+/// it may apply the changes that it has missed before it reads such a request,
+/// so that the request looks newer than they are. A request is therefore
+/// related to the oldest of several samples. A suspension adds one sample,
+/// however long it lasts, so the oldest one is from before it until the process
+/// has run for a while. Answers load of any size: one sample is taken in each
+/// interval.
+class ChangeHorizon {
+ public:
+  static constexpr std::chrono::milliseconds kSampleInterval{100};
+  static constexpr std::size_t kSampleCount = 5;
+
+  explicit ChangeHorizon(const support::Clock& clock) : clock_(clock) {}
+
+  /// Takes a sample if one is due. To be called at least once in each interval;
+  /// \p applied is the number of changes that this process has applied.
+  void Update(std::uint64_t applied);
+
+  /// Returns a number of changes that had been applied before a request that is
+  /// read now was sent.
+  std::uint64_t AppliedBefore() const {
+    return samples_.size() < kSampleCount ? 0 : samples_.front();
+  }
+
+ private:
+  const support::Clock& clock_;
+  // At most kSampleCount, oldest first.
+  std::deque<std::uint64_t> samples_;
+  support::TimePoint sampled_at_;
+};
+
+}  // namespace yuccastair::control
+
+#endif  // YUCCASTAIR_LIB_CONTROL_CHANGE_HORIZON_H_
--- a/lib/control/policy_request_service.cc
+++ b/lib/control/policy_request_service.cc
@@ -20,10 +20,16 @@
                                            const policy::PolicyTable& table,
                                            const support::Clock& clock,
                                            ForwardCallback forward)
-    : log_(log), table_(table), clock_(clock), forward_(std::move(forward)) {}
+    : log_(log),
+      table_(table),
+      clock_(clock),
+      forward_(std::move(forward)),
+      zone_changes_(clock) {}
 
-void PolicyRequestService::Execute(const wire::PolicyRequest& request,
+void PolicyRequestService::Execute(wire::PolicyRequest request,
                                    const ReplyCallback& done) {
+  if (request.has_zone())
+    request.mutable_zone()->set_changes_before(zone_changes_.AppliedBefore());
   if (log_.IsCurrentLeader()) {
     ExecuteAsLeader(request, done);
     return;
@@ -92,6 +98,7 @@
 }
 
 void PolicyRequestService::Tick() {
+  zone_changes_.Update(table_.state().zone_changes());
   const support::TimePoint now = clock_.Now();
   for (auto it = forwarded_requests_.begin();
        it != forwarded_requests_.end();) {
--- a/lib/control/policy_request_service.h
+++ b/lib/control/policy_request_service.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <string>
 
+#include "change_horizon.h"
 #include "policy.pb.h"
 #include "sync.pb.h"
 #include "yuccastair/consensus/state_machine.h"
@@ -37,7 +38,7 @@
 
   /// Executes a request that an operator sent to this process. \p done is
   /// called once; an empty reply means that the outcome is unknown.
-  void Execute(const wire::PolicyRequest& request, const ReplyCallback& done);
+  void Execute(wire::PolicyRequest request, const ReplyCallback& done);
 
   /// Executes a request that another control process forwarded. It is not
   /// forwarded again, since the leader may just have changed.
@@ -52,7 +53,8 @@
   /// to \p leader, so that its caller can try another control process in time.
   void OnUndelivered(std::uint64_t correlation, const std::string& leader);
 
-  /// Replies to forwarded requests that have timed out.
+  /// Replies to forwarded requests that have timed out, and tracks the changes
+  /// of zones.
   void Tick();
 
   /// Adds the zones out of service, and the policy if the node's is older.
@@ -69,6 +71,7 @@
   const policy::PolicyTable& table_;
   const support::Clock& clock_;
   const ForwardCallback forward_;
+  ChangeHorizon zone_changes_;
   // Requests forwarded to the leader, by correlation.
   std::map<std::uint64_t, ForwardedRequest> forwarded_requests_;
   std::uint64_t next_correlation_ = 1;
--- a/lib/policy/policy_table.cc
+++ b/lib/policy/policy_table.cc
@@ -27,8 +27,7 @@
   if (request.has_put()) {
     reply.set_status(Put(request.put()));
   } else if (request.has_zone()) {
-    SetZone(request.zone());
-    reply.set_status(wire::POLICY_STATUS_DONE);
+    reply.set_status(SetZone(request.zone()));
   }
   reply.set_version(state_.policy().version());
   return reply.SerializeAsString();
@@ -57,16 +56,36 @@
   return wire::POLICY_STATUS_DONE;
 }
 
-void PolicyTable::SetZone(const wire::ZoneChange& change) {
+wire::PolicyStatus PolicyTable::SetZone(const wire::ZoneChange& change) {
   auto* zones = state_.mutable_zones_out();
   const auto found = std::find(zones->begin(), zones->end(), change.zone());
-  if ((found != zones->end()) == change.out())
-    return;
+  const bool has_effect = (found != zones->end()) != change.out();
+  wire::AcceptedZoneChange& last = LastChangeOf(change.zone());
+  if (has_effect && change.has_changes_before() &&
+      last.number() > change.changes_before())
+    return wire::POLICY_STATUS_SUPERSEDED;
+  // A change without effect counts too: it confirms the state against an older
+  // opposite change.
+  state_.set_zone_changes(state_.zone_changes() + 1);
+  last.set_number(state_.zone_changes());
+  if (!has_effect)
+    return wire::POLICY_STATUS_DONE;
   if (change.out())
     state_.add_zones_out(change.zone());
   else
     zones->erase(found);
   state_.set_zones_revision(state_.zones_revision() + 1);
+  return wire::POLICY_STATUS_DONE;
+}
+
+wire::AcceptedZoneChange& PolicyTable::LastChangeOf(const std::string& zone) {
+  for (wire::AcceptedZoneChange& last : *state_.mutable_last_zone_changes()) {
+    if (last.zone() == zone)
+      return last;
+  }
+  wire::AcceptedZoneChange* added = state_.add_last_zone_changes();
+  added->set_zone(zone);
+  return *added;
 }
 
 std::string PolicyTable::TakeSnapshot() const {
--- a/unittests/control/policy_service_test.cc
+++ b/unittests/control/policy_service_test.cc
@@ -1,15 +1,21 @@
-// Requests on the policy that arrive at a follower.
+// Requests on the policy that arrive at a follower, and orders that arrive
+// late.
 
 #include "policy_request_service.h"
 
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <optional>
+#include <vector>
 
 #include "fake_log.h"
+#include "yuccastair/state/table_dispatcher.h"
 
 namespace yuccastair::control {
 namespace {
 
+using namespace std::chrono_literals;
+
 class FollowerFixture {
  protected:
   FollowerFixture() { log_.is_leader = false; }
@@ -54,5 +60,122 @@
   CHECK_FALSE(reply_);
 }
 
+class ZoneOrderFixture {
+ protected:
+  ZoneOrderFixture() { dispatcher_.Add(wire::TABLE_POLICY, table_); }
+
+  /// Lets the process run for \p time.
+  void Run(std::chrono::milliseconds time) {
+    for (const auto end = clock_.Now() + time; clock_.Now() < end;) {
+      clock_.Advance(10ms);
+      service_.Tick();
+    }
+  }
+  /// Lets the process stand still for \p time; on waking it applies what the
+  /// others have committed before it reads anything else.
+  void Suspend(std::chrono::milliseconds time) {
+    clock_.Advance(time);
+    service_.Tick();
+  }
+
+  static wire::PolicyRequest MakeOrder(bool out) {
+    wire::PolicyRequest request;
+    request.mutable_zone()->set_zone("z");
+    request.mutable_zone()->set_out(out);
+    return request;
+  }
+  /// An order that an operator sends to this process.
+  wire::PolicyStatus Order(bool out) {
+    wire::PolicyStatus status = wire::POLICY_STATUS_UNAVAILABLE;
+    service_.Execute(MakeOrder(out), [&](const wire::PolicyReply& reply) {
+      status = reply.status();
+    });
+    return status;
+  }
+  /// An order that another process has executed.
+  void OrderElsewhere(bool out) {
+    table_.Apply(0, MakeOrder(out).SerializeAsString());
+  }
+  bool IsOut() const { return table_.state().zones_out_size() == 1; }
+
+  support::ManualClock clock_;
+  policy::PolicyTable table_;
+  state::TableDispatcher dispatcher_;
+  FakeLog log_{dispatcher_};
+  std::vector<wire::PolicyRequest> forwarded_;
+  PolicyRequestService service_{log_, table_, clock_,
+                                [this](const std::string&,
+                                       std::uint64_t,
+                                       const wire::PolicyRequest& request) {
+                                  forwarded_.push_back(request);
+                                }};
+};
+
+// Guards against an evacuation that ends because a process that was suspended
+// reads an order from before it.
+TEST_CASE_METHOD(ZoneOrderFixture,
+                 "an order that waited for a suspended process does not undo a "
+                 "later one") {
+  OrderElsewhere(true);
+  Run(1000ms);
+  SECTION("that was preceded by the same order elsewhere") {
+    OrderElsewhere(false);
+    OrderElsewhere(true);
+    Suspend(1500ms);
+  }
+  SECTION("that changed nothing") {
+    OrderElsewhere(true);
+    Suspend(1500ms);
+  }
+  SECTION("that was missed in the second of two suspensions") {
+    Suspend(1500ms);
+    Run(50ms);
+    OrderElsewhere(true);
+    Suspend(1500ms);
+  }
+  SECTION("and is read some time after the process has woken") {
+    OrderElsewhere(true);
+    Suspend(1500ms);
+    Run(200ms);
+  }
+  CHECK(Order(false) != wire::POLICY_STATUS_DONE);
+  CHECK(IsOut());
+}
+
+// Guards against the same where the order waits on its way to the leader.
+TEST_CASE_METHOD(ZoneOrderFixture,
+                 "an order that is forwarded late does not undo a later one") {
+  OrderElsewhere(true);
+  Run(1000ms);
+  log_.is_leader = false;
+  Order(false);
+  REQUIRE(forwarded_.size() == 1);
+  OrderElsewhere(false);
+  OrderElsewhere(true);
+  log_.is_leader = true;
+  Run(5000ms);
+  wire::PolicyStatus status = wire::POLICY_STATUS_UNAVAILABLE;
+  service_.ExecuteAsLeader(forwarded_[0], [&](const wire::PolicyReply& reply) {
+    status = reply.status();
+  });
+  CHECK(status != wire::POLICY_STATUS_DONE);
+  CHECK(IsOut());
+}
+
+// Guards against operators whose orders are refused for good, or for longer
+// than they try again.
+TEST_CASE_METHOD(ZoneOrderFixture, "an order in time is carried out") {
+  Run(1000ms);
+  CHECK(Order(true) == wire::POLICY_STATUS_DONE);
+  CHECK(Order(true) == wire::POLICY_STATUS_DONE);
+  CHECK(IsOut());
+  Run(500ms);
+  CHECK(Order(false) == wire::POLICY_STATUS_DONE);
+  CHECK_FALSE(IsOut());
+  Suspend(1500ms);
+  Run(500ms);
+  CHECK(Order(true) == wire::POLICY_STATUS_DONE);
+}
+
 }  // namespace
 }  // namespace yuccastair::control
--- a/unittests/platform/policy_document_test.cc
+++ b/unittests/platform/policy_document_test.cc
@@ -153,6 +153,8 @@
   CHECK(StatusOf(reply) == 200);
   reply.set_status(wire::POLICY_STATUS_CONFLICT);
   CHECK(StatusOf(reply) == 412);
+  reply.set_status(wire::POLICY_STATUS_SUPERSEDED);
+  CHECK(StatusOf(reply) == 503);
 }
 
 }  // namespace
--- a/unittests/policy/policy_table_test.cc
+++ b/unittests/policy/policy_table_test.cc
@@ -95,6 +95,31 @@
   CHECK(table.state().zones_revision() == 2);
 }
 
+// Guards against an old change that undoes a newer one.
+TEST_CASE("a change of a zone that may be older than the last one is refused") {
+  PolicyTable table;
+  Apply(table, Zone("a", true));
+  const auto status = [&table](const std::string& name, bool out,
+                               std::uint64_t changes_before) {
+    wire::PolicyRequest request = Zone(name, out);
+    request.mutable_zone()->set_changes_before(changes_before);
+    return Apply(table, request).status();
+  };
+  CHECK(status("a", false, 0) == wire::POLICY_STATUS_SUPERSEDED);
+  CHECK(table.state().zones_out_size() == 1);
+  CHECK(table.state().zone_changes() == 1);
+  // Without effect, so there is nothing to undo.
+  CHECK(status("a", true, 0) == wire::POLICY_STATUS_DONE);
+  CHECK(status("a", false, 1) == wire::POLICY_STATUS_SUPERSEDED);
+  SECTION("also after a restart from a snapshot") {
+    table.RestoreSnapshot(table.TakeSnapshot());
+    CHECK(status("a", false, 1) == wire::POLICY_STATUS_SUPERSEDED);
+  }
+  CHECK(status("b", true, 0) == wire::POLICY_STATUS_DONE);
+  CHECK(status("a", false, 2) == wire::POLICY_STATUS_DONE);
+  CHECK(table.state().zones_out_size() == 1);
+}
+
 // Guards against a resend that is refused after a restart from a snapshot.
 TEST_CASE("a snapshot holds policy, zones and accepted changes") {
   PolicyTable table;
