Restore a target's departure when its relay has restarted

A target drained or deregistered, its relay acknowledged that and was killed; a heartbeat that arrived late then made the target available again for as long as it lived (DRAIN).

Cause: the departure was known to the killed process alone. Relays have no disk.

Change: a relay reports the process of its target that is leaving with every sync. The control processes keep it when a restarted relay reports none, also where the relay now reports to another one, and tell the relay, which applies it like a deregistration. It names one process by id and start time, so that a successor is not affected. It lasts as long as the relay's entry in the registry, 3 s after its last report, and takes effect with the first sync of the new process; a relay that dies before it has synced the departure loses it.

--- a/include/yuccastair/membership/registry.h
+++ b/include/yuccastair/membership/registry.h
@@ -34,9 +34,16 @@
   Registry(const support::Clock& clock, std::chrono::milliseconds expiry);
 
   /// Records a node's report about itself. A report that is older than the
-  /// known ones, or a duplicate, is ignored.
+  /// known ones, or a duplicate, is ignored. A departing target that was
+  /// reported before is kept where \p member names none, since the node process
+  /// may have restarted.
   void ApplyReport(const wire::Member& member);
 
+  /// Returns the departing target that \p node_id has reported last, also
+  /// before a restart; null if there is none.
+  const wire::TargetProcess* FindDepartingTarget(
+      const std::string& node_id) const;
+
   /// Removes the nodes whose last report, or whose control process's last
   /// reply, is older than `expiry`.
   void RemoveExpired();
@@ -110,6 +117,8 @@
     std::unordered_set<std::string> unconfirmed_node_ids;
   };
 
+  /// Records a report that is not older than the known ones.
+  void PutLocalReport(const wire::Member& member);
   void PutReport(const ReportSource& source, const wire::Member& member);
   void RemoveReport(const ReportSource& source, const std::string& node_id);
   static const wire::Member& LatestReport(const Node& node);
--- a/lib/control/sync_service.cc
+++ b/lib/control/sync_service.cc
@@ -24,8 +24,13 @@
 wire::SyncReply SyncService::HandleSync(const wire::SyncRequest& request) {
   wire::SyncReply reply;
   // A request without a sender contains no report.
-  if (!request.self().node_id().empty())
+  if (!request.self().node_id().empty()) {
     registry_.ApplyReport(request.self());
+    const wire::TargetProcess* departing =
+        registry_.FindDepartingTarget(request.self().node_id());
+    if (departing != nullptr && !request.self().has_departing_target())
+      *reply.mutable_departing_target() = *departing;
+  }
   if (options_.fill_reply)
     options_.fill_reply(request, reply);
   for (const wire::FollowedService& followed : request.followed())
--- a/lib/membership/registry.cc
+++ b/lib/membership/registry.cc
@@ -14,6 +14,11 @@
          a.availability_zone() == b.availability_zone();
 }
 
+bool NameSameDepartingTarget(const wire::Member& a, const wire::Member& b) {
+  return a.departing_target().target_id() == b.departing_target().target_id() &&
+         a.departing_target().started_ms() == b.departing_target().started_ms();
+}
+
 bool IsOlder(const wire::Member& a, const wire::Member& b) {
   return std::make_tuple(a.started_ms(), a.sequence()) <
          std::make_tuple(b.started_ms(), b.sequence());
@@ -47,6 +52,28 @@
         return;
     }
   }
+  const wire::TargetProcess* departing =
+      member.has_departing_target() ? nullptr : FindDepartingTarget(node_id);
+  if (departing == nullptr) {
+    PutLocalReport(member);
+    return;
+  }
+  wire::Member completed = member;
+  *completed.mutable_departing_target() = *departing;
+  PutLocalReport(completed);
+}
+
+const wire::TargetProcess* Registry::FindDepartingTarget(
+    const std::string& node_id) const {
+  const auto found = nodes_.find(node_id);
+  if (found == nodes_.end())
+    return nullptr;
+  const wire::Member& latest = LatestReport(found->second);
+  return latest.has_departing_target() ? &latest.departing_target() : nullptr;
+}
+
+void Registry::PutLocalReport(const wire::Member& member) {
+  const std::string& node_id = member.node_id();
   const auto local = local_node_by_id_.find(node_id);
   if (local == local_node_by_id_.end()) {
     local_nodes_.push_back({node_id, clock_.Now()});
@@ -55,8 +82,9 @@
     local->second->reported_at = clock_.Now();
     local_nodes_.splice(local_nodes_.end(), local_nodes_, local->second);
     // Most reports change only the sequence number.
-    wire::Member& known = found->second.reports.at("");
-    if (DescribeSameState(known, member)) {
+    wire::Member& known = nodes_.at(node_id).reports.at("");
+    if (DescribeSameState(known, member) &&
+        NameSameDepartingTarget(known, member)) {
       known.set_sequence(member.sequence());
       return;
     }
@@ -133,9 +161,11 @@
   }
   if (!advertised)
     return;
-  index_.Put(*latest);
   node.indexed_service = latest->service();
   node.indexed_member = *latest;
+  // Of use to the node itself only.
+  node.indexed_member.clear_departing_target();
+  index_.Put(node.indexed_member);
 }
 
 void Registry::RemoveExpired() {
--- a/lib/relay/relay.cc
+++ b/lib/relay/relay.cc
@@ -166,10 +166,34 @@
     self->set_limit(load.limit());
     self->set_started_ms(started_ms_);
     self->set_sequence(++sequence_);
+    if (const auto departing = target_proxy_.tracker().DepartingProcess()) {
+      wire::TargetProcess* process = self->mutable_departing_target();
+      process->set_target_id(departing->target_id);
+      process->set_started_ms(departing->started_ms);
+    }
     fleet_.FillRequest(request);
   }
 
+  /// Applies the departure that an earlier process of this relay has
+  /// acknowledged.
+  void RestoreDeparture(const wire::TargetProcess& process) {
+    if (process.target_id() == restored_departure_.target_id() &&
+        process.started_ms() == restored_departure_.started_ms())
+      return;
+    restored_departure_ = process;
+    support::LogInfo("target.departure_restored",
+                     {{"target", process.target_id()},
+                      {"started_ms", process.started_ms()}});
+    Announcement departure;
+    departure.target_id = process.target_id();
+    departure.started_ms = process.started_ms();
+    departure.state = AnnouncedState::kDeregistered;
+    target_proxy_.OnAnnouncement(departure);
+  }
+
   void Apply(const wire::SyncReply& reply) {
+    if (reply.has_departing_target())
+      RestoreDeparture(reply.departing_target());
     if (!fleet_.Apply(reply))
       return;
     target_proxy_.SetZoneOut(fleet_.IsZoneOut(settings_.availability_zone));
@@ -449,6 +473,8 @@
   const std::string incarnation_;
   const std::uint64_t started_ms_;
   std::uint64_t sequence_ = 0;
+  // The last one that a control process has reported.
+  wire::TargetProcess restored_departure_;
   bool stopping_ = false;
   const support::SteadyClock clock_{};
   const support::BootClock boot_clock_{};
--- a/lib/relay/target_proxy.cc
+++ b/lib/relay/target_proxy.cc
@@ -138,6 +138,9 @@
          {"deregistered", announcement.state == AnnouncedState::kDeregistered},
          {"sequence", announcement.sequence},
          {"started_ms", announcement.started_ms}});
+    // The control processes remember it for this relay.
+    if (announcement.state == AnnouncedState::kDeregistered && on_state_changed)
+      on_state_changed();
     return;
   }
   zone_return_cold_until_ = {};
--- a/lib/relay/target_tracker.cc
+++ b/lib/relay/target_tracker.cc
@@ -35,7 +35,7 @@
 }
 
 bool TargetTracker::HasDeregistered(const Announcement& announcement) {
-  for (DeregisteredProcess& process : deregistered_processes_) {
+  for (Process& process : deregistered_processes_) {
     if (process.target_id != announcement.target_id)
       continue;
     // Without a start time the deregistration is that of the first process to
@@ -111,6 +111,16 @@
                    : AnnouncementEffect::kUpdated;
 }
 
+std::optional<TargetTracker::Process> TargetTracker::DepartingProcess() const {
+  if (latest_announcement_ &&
+      latest_announcement_->state != AnnouncedState::kReady)
+    return Process{latest_announcement_->target_id,
+                   latest_announcement_->started_ms};
+  if (!deregistered_processes_.empty())
+    return deregistered_processes_.back();
+  return std::nullopt;
+}
+
 wire::TargetState TargetTracker::State() const {
   if (!latest_announcement_ || connection_refused_)
     return wire::TARGET_STATE_DOWN;
--- a/lib/relay/target_tracker.h
+++ b/lib/relay/target_tracker.h
@@ -19,6 +19,13 @@
 /// that sent them has stopped.
 class TargetTracker {
  public:
+  /// A process of the target.
+  struct Process {
+    std::string target_id;
+    /// 0 if unknown.
+    std::uint64_t started_ms = 0;
+  };
+
   enum class AnnouncementEffect {
     /// The known process is unchanged: the announcement is stale, or belongs to
     /// a process that has stopped or that has not announced itself before.
@@ -56,17 +63,13 @@
   const Announcement* latest_announcement() const {
     return latest_announcement_ ? &*latest_announcement_ : nullptr;
   }
+  /// Returns the last process that is draining or has deregistered; nothing if
+  /// none is known.
+  std::optional<Process> DepartingProcess() const;
   /// Identifies the process of the target; empty before the first announcement.
   const std::string& Incarnation() const { return incarnation_; }
 
  private:
-  /// A process that deregistered before it announced itself to this relay.
-  struct DeregisteredProcess {
-    std::string target_id;
-    /// 0 if unknown, since a deregistration may carry no start time.
-    std::uint64_t started_ms = 0;
-  };
-
   bool IsStale(const Announcement& announcement) const;
   /// Returns whether the sender of \p announcement, or a later process with the
   /// same id, has deregistered without having announced itself.
@@ -88,8 +91,9 @@
   // Ids of earlier processes, latest last, for targets that report no start
   // time.
   std::deque<std::string> previous_target_ids_;
-  // Latest last. Announcements that these processes sent before may be late.
-  std::deque<DeregisteredProcess> deregistered_processes_;
+  // Processes that deregistered before they announced themselves to this relay,
+  // latest last. Announcements that they sent before may be late.
+  std::deque<Process> deregistered_processes_;
 };
 
 }  // namespace yuccastair::relay
--- a/unittests/membership/registry_test.cc
+++ b/unittests/membership/registry_test.cc
@@ -62,5 +62,41 @@
   CHECK(reply.services(0).members_size() == 0);
 }
 
+// Guards against a target that has left and is forgotten with the process of
+// its node.
+TEST_CASE("a departing target is kept when its node process restarts") {
+  support::ManualClock clock;
+  Registry registry(clock, milliseconds(3000));
+  Registry other(clock, milliseconds(3000));
+  wire::Member member;
+  member.set_node_id("n");
+  member.set_service("s");
+  member.set_state(wire::TARGET_STATE_LEAVING);
+  member.set_started_ms(5);
+  member.set_sequence(1);
+  registry.ApplyReport(member);
+  CHECK(registry.FindDepartingTarget("n") == nullptr);
+  member.set_sequence(2);
+  member.mutable_departing_target()->set_target_id("a");
+  member.mutable_departing_target()->set_started_ms(7);
+  registry.ApplyReport(member);
+  // The node reports to another control process after its restart.
+  other.ApplyDelta("peer", registry.HandlePull(other.MakePull("peer")));
+  member.clear_departing_target();
+  member.set_started_ms(6);
+  for (int sequence = 1; sequence <= 2; ++sequence) {
+    member.set_sequence(static_cast<std::uint64_t>(sequence));
+    other.ApplyReport(member);
+    REQUIRE(other.FindDepartingTarget("n") != nullptr);
+    CHECK(other.FindDepartingTarget("n")->target_id() == "a");
+    CHECK(other.FindDepartingTarget("n")->started_ms() == 7);
+  }
+  member.set_sequence(3);
+  member.mutable_departing_target()->set_target_id("b");
+  other.ApplyReport(member);
+  CHECK(other.FindDepartingTarget("n")->target_id() == "b");
+  CHECK(other.FindDepartingTarget("m") == nullptr);
+}
+
 }  // namespace
 }  // namespace yuccastair::membership
--- a/unittests/platform/soak_layout.h
+++ b/unittests/platform/soak_layout.h
@@ -26,6 +26,7 @@
   static constexpr int kPlannedStopPorts = 20000;
   static constexpr int kControlStopPorts = 24000;
   static constexpr int kLateOrderPorts = 29000;
+  static constexpr int kDepartingTargetPorts = 30000;
 
   /// Seeds that run at the same time have ports of their own.
   SoakLayout(int first_port, std::uint64_t seed)
