Accept nothing for a target that is first known as draining

Callers would see: requests that reach a target later than its drain time after it was acknowledged as draining (DRAIN), because its relay has restarted since.

Cause: TargetTracker began the drain time with the first announcement that it saw, and accepts requests for half of it. A restarted relay first hears of the target some time after the acknowledgement.

Change: the drain time of such a target counts as over. It was not announced as available by this process, so no other relay has been sent to it.

Test: relay_target_record_test failed before in both sections of the new case.

--- a/lib/relay/target_tracker.cc
+++ b/lib/relay/target_tracker.cc
@@ -98,9 +98,13 @@
     if (previous_target_ids_.size() > kMaxPreviousTargetIds)
       previous_target_ids_.pop_front();
   }
-  if (announcement.state == AnnouncedState::kDraining &&
-      (!same || latest_announcement_->state == AnnouncedState::kReady))
+  if (announcement.state == AnnouncedState::kDraining && !same) {
+    // It may have been draining for long.
+    leaving_since_ = clock_.Now() - drain_time_;
+  } else if (announcement.state == AnnouncedState::kDraining &&
+             latest_announcement_->state == AnnouncedState::kReady) {
     leaving_since_ = clock_.Now();
+  }
   const bool restarted = latest_announcement_.has_value() && !same;
   latest_announcement_ = announcement;
   incarnation_ = IncarnationOf(*latest_announcement_);
--- a/unittests/relay/target_record_test.cc
+++ b/unittests/relay/target_record_test.cc
@@ -148,6 +148,18 @@
   CHECK_FALSE(tracker_.AcceptsRequests());
 }
 
+// Guards against a drain time that starts anew when a relay has restarted.
+TEST_CASE_METHOD(TrackerFixture,
+                 "a target that is first known as draining accepts nothing") {
+  SECTION("at a relay that knows no target") {}
+  SECTION("at a relay that knows its predecessor") {
+    tracker_.Apply(Announced("a", 5, 1));
+  }
+  tracker_.Apply(Announced("b", 6, 9, AnnouncedState::kDraining));
+  CHECK(tracker_.State() == wire::TARGET_STATE_DRAINING);
+  CHECK_FALSE(tracker_.AcceptsRequests());
+}
+
 TEST_CASE_METHOD(TrackerFixture, "cold time runs from the announcement") {
   Announcement cold = Announced("a", 5, 1);
   cold.remaining_cold_time = 3000ms;
