Relate a zone order to the time at which its connection was accepted

Callers would see: an evacuation that ends though it was acknowledged and not taken back (EVAC), because the network held back an older order.

Cause: the process that reads such an order has run all the while, so its samples of half a second ago already contain the changes that the order precedes.

Evidence: platform_late_order_test, new case: the order's connection is accepted, the evacuation is ended and ordered anew elsewhere, and the order arrives 3 s after its connection.

Change: the first request on a connection may have been on its way since the connection was accepted, so the order is related to what had been applied then. Later requests on a kept connection are related to the samples alone, since clients may send them at any time; an order that is held back on such a connection is not recognised.

--- a/include/yuccastair/stream/server.h
+++ b/include/yuccastair/stream/server.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -15,6 +16,7 @@
 #include "yuccastair/stream/message_reader.h"
 #include "yuccastair/stream/types.h"
 #include "yuccastair/support/address.h"
+#include "yuccastair/support/clock.h"
 
 namespace yuccastair::stream {
 
@@ -62,6 +64,13 @@
   /// Closes the connection at once, so that an answer under way is incomplete.
   void Abort();
 
+  /// Time from the acceptance of the connection to its first request, which may
+  /// have been on its way for as long; zero for the requests after it, which
+  /// clients may send at any time.
+  std::chrono::milliseconds first_request_wait() const {
+    return first_request_wait_;
+  }
+
   bool answered() const { return answered_; }
   bool body_too_large() const { return body_too_large_; }
 
@@ -78,6 +87,7 @@
   MessageReader<true> reader_;
   const ServerLimits& limits_;
   std::shared_ptr<Watcher> watcher_;
+  std::chrono::milliseconds first_request_wait_{0};
   std::uint64_t body_read_ = 0;
   bool body_too_large_ = false;
   bool close_ = false;
@@ -115,7 +125,10 @@
   Task<void> Accept();
   ErrorCode AcceptWaiting();
   Task<void> Serve(asio::ip::tcp::socket socket);
-  Task<bool> ServeOne(beast::tcp_stream& stream, beast::flat_buffer& buffer);
+  /// \p accepted_at is set for the first request of the connection.
+  Task<bool> ServeOne(beast::tcp_stream& stream,
+                      beast::flat_buffer& buffer,
+                      std::optional<support::TimePoint> accepted_at);
 
   asio::io_context& context_;
   asio::ip::tcp::acceptor acceptor_;
--- a/lib/control/change_horizon.h
+++ b/lib/control/change_horizon.h
@@ -25,6 +25,8 @@
  public:
   static constexpr std::chrono::milliseconds kSampleInterval{100};
   static constexpr std::size_t kSampleCount = 5;
+  /// A request from before as many changes is related to none of them.
+  static constexpr std::size_t kMaxChanges = 64;
 
   explicit ChangeHorizon(const support::Clock& clock) : clock_(clock) {}
 
@@ -33,15 +35,24 @@
   void Update(std::uint64_t applied);
 
   /// Returns a number of changes that had been applied before a request that is
-  /// read now was sent.
-  std::uint64_t AppliedBefore() const {
-    return samples_.size() < kSampleCount ? 0 : samples_.front();
-  }
+  /// read now was sent; it was on its way for \p max_transit at most.
+  std::uint64_t AppliedBefore(support::Duration max_transit) const;
 
  private:
+  struct Change {
+    /// Time of the first sample that contains it.
+    support::TimePoint seen_at;
+    std::uint64_t applied = 0;
+  };
+
+  /// Returns the number of changes that had been seen by \p time.
+  std::uint64_t AppliedBy(support::TimePoint time) const;
+
   const support::Clock& clock_;
   // At most kSampleCount, oldest first.
   std::deque<std::uint64_t> samples_;
+  // The latest changes, oldest first.
+  std::deque<Change> changes_;
   support::TimePoint sampled_at_;
 };
 
--- a/lib/control/policy_request_service.cc
+++ b/lib/control/policy_request_service.cc
@@ -29,7 +29,8 @@
 void PolicyRequestService::Execute(wire::PolicyRequest request,
                                    const ReplyCallback& done) {
   if (request.has_zone())
-    request.mutable_zone()->set_changes_before(zone_changes_.AppliedBefore());
+    request.mutable_zone()->set_changes_before(zone_changes_.AppliedBefore(
+        std::chrono::milliseconds(request.zone().max_transit_ms())));
   if (log_.IsCurrentLeader()) {
     ExecuteAsLeader(request, done);
     return;
--- a/lib/stream/server.cc
+++ b/lib/stream/server.cc
@@ -255,7 +255,9 @@
   ++connections_;
   beast::tcp_stream stream(std::move(socket));
   beast::flat_buffer buffer;
-  while (co_await ServeOne(stream, buffer)) {
+  std::optional<support::TimePoint> accepted_at = support::SteadyClock().Now();
+  while (co_await ServeOne(stream, buffer,
+                           std::exchange(accepted_at, std::nullopt))) {
   }
   if (stream.socket().is_open())
     co_await Linger(stream);
@@ -264,7 +266,8 @@
 
 /// Serves the next request. Returns whether the connection can be used again.
 Task<bool> Server::ServeOne(beast::tcp_stream& stream,
-                            beast::flat_buffer& buffer) {
+                            beast::flat_buffer& buffer,
+                            std::optional<support::TimePoint> accepted_at) {
   if (buffer.size() == 0) {
     stream.expires_after(limits_.idle_timeout);
     auto space = buffer.prepare(kPieceBytes);
@@ -283,6 +286,10 @@
     buffer.commit(bytes);
   }
   ServerExchange exchange(stream, buffer, limits_);
+  if (accepted_at) {
+    exchange.first_request_wait_ = std::chrono::ceil<std::chrono::milliseconds>(
+        support::SteadyClock().Now() - *accepted_at);
+  }
   stream.expires_after(limits_.header_timeout);
   ErrorCode error =
       co_await exchange.reader_.ReadHead(limits_.max_header_bytes);
--- a/unittests/control/policy_service_test.cc
+++ b/unittests/control/policy_service_test.cc
@@ -85,9 +85,12 @@
     return request;
   }
   /// An order that an operator sends to this process.
-  wire::PolicyStatus Order(bool out) {
+  wire::PolicyStatus Order(bool out, std::chrono::milliseconds transit = 0ms) {
     wire::PolicyStatus status = wire::POLICY_STATUS_UNAVAILABLE;
-    service_.Execute(MakeOrder(out), [&](const wire::PolicyReply& reply) {
+    wire::PolicyRequest request = MakeOrder(out);
+    request.mutable_zone()->set_max_transit_ms(
+        static_cast<std::uint64_t>(transit.count()));
+    service_.Execute(request, [&](const wire::PolicyReply& reply) {
       status = reply.status();
     });
     return status;
@@ -162,6 +165,21 @@
   CHECK(IsOut());
 }
 
+// Guards against the same where the network holds an order back.
+TEST_CASE_METHOD(ZoneOrderFixture,
+                 "an order that may have been sent before another one does not "
+                 "undo it") {
+  OrderElsewhere(true);
+  Run(1000ms);
+  OrderElsewhere(false);
+  OrderElsewhere(true);
+  Run(2000ms);
+  CHECK(Order(false, 2500ms) != wire::POLICY_STATUS_DONE);
+  CHECK(IsOut());
+  CHECK(Order(false, 1500ms) == wire::POLICY_STATUS_DONE);
+  CHECK_FALSE(IsOut());
+}
+
 // Guards against operators whose orders are refused for good, or for longer
 // than they try again.
 TEST_CASE_METHOD(ZoneOrderFixture, "an order in time is carried out") {
--- a/unittests/platform/late_order_test.cc
+++ b/unittests/platform/late_order_test.cc
@@ -22,6 +22,7 @@
 // leader again by then.
 constexpr int kFreezes = 6;
 constexpr auto kFreezeTime = 1500ms;
+constexpr auto kTransitTime = 3s;
 
 const std::string kStart = "/yuccastair/Evacuations.Start/z1";
 const std::string kEnd = "/yuccastair/Evacuations.End/z1";
@@ -62,6 +63,35 @@
         asio::detached);
     return answer;
   }
+  /// Sends an order to a process once, \p delay after the connection to it is
+  /// open.
+  std::shared_ptr<Answer> SendLate(int i,
+                                   const std::string& order,
+                                   support::Duration delay) {
+    auto answer = std::make_shared<Answer>();
+    asio::co_spawn(
+        context(),
+        [this, i, order, delay, answer]() -> Task<void> {
+          stream::ConnectionPool pool(context(), {});
+          auto acquired = co_await pool.Acquire(
+              layout_.Policy(i), support::SteadyClock().Now() + 2 * delay);
+          if (!acquired.connection)
+            co_return;
+          co_await Pause(delay);
+          http::header<true> head;
+          head.method(http::verb::post);
+          head.target(order);
+          head.set("Host", "h.example");
+          stream::BodySource body;
+          body.length = 0;
+          co_await acquired.connection->Write(std::move(head), body);
+          auto& reader = acquired.connection->reader();
+          if (!co_await reader.ReadHead(65536))
+            answer->status = reader.head().result_int();
+        },
+        asio::detached);
+    return answer;
+  }
   void AwaitAnswer(const Answer& answer) {
     Await("an answer", [&] { return answer.status != 0; });
   }
@@ -93,5 +123,23 @@
   }
 }
 
+// Guards against the same where the network holds an order back on a connection
+// that has been accepted.
+TEST_CASE("an order that arrives late does not end a later evacuation") {
+  Operators operators(2);
+  operators.Order(0, kStart);
+  operators.RunFor(1s);
+  for (int i = 0; i < SoakLayout::kControls; ++i) {
+    INFO("control process " << i);
+    const int other = (i + 1) % SoakLayout::kControls;
+    const auto late = operators.SendLate(i, kEnd, kTransitTime);
+    operators.RunFor(100ms);
+    operators.Order(other, kEnd);
+    operators.Order(other, kStart);
+    operators.AwaitAnswer(*late);
+    CHECK(late->status == 503);
+  }
+}
+
 }  // namespace
 }  // namespace yuccastair
