--- a/lib/control/change_horizon.h
+++ b/lib/control/change_horizon.h
@@ -16,16 +16,19 @@
 ///
 /// While a process is suspended, requests wait in its sockets. When it wakes,
 /// it may apply the changes that it has missed before it reads such a request,
-/// so that the request looks newer than they are. A request is therefore
-/// related to the oldest of several samples. A suspension adds one sample,
-/// however long it lasts, so the oldest one is from before it until the process
-/// has run for a while. Answers load of any size: one sample is taken in each
-/// interval.
+/// which then looks newer than they are. Requests are therefore related to the
+/// oldest of several samples of the number of changes. A suspension adds one
+/// sample, however long it lasts, so the oldest sample was taken before it
+/// until the process has run for kSampleCount intervals.
+///
+/// The cost does not depend on the number of requests: one sample is taken in
+/// each interval.
 class ChangeHorizon {
  public:
   static constexpr std::chrono::milliseconds kSampleInterval{100};
   static constexpr std::size_t kSampleCount = 5;
-  /// A request from before as many changes is related to none of them.
+  /// A request that may have been sent before the last kMaxChanges changes is
+  /// taken to precede all changes.
   static constexpr std::size_t kMaxChanges = 64;
 
   explicit ChangeHorizon(const support::Clock& clock) : clock_(clock) {}
@@ -34,8 +37,8 @@
   /// \p applied is the number of changes that this process has applied.
   void Update(std::uint64_t applied);
 
-  /// Returns a number of changes that had been applied before a request that is
-  /// read now was sent; it was on its way for \p max_transit at most.
+  /// Returns how many changes had been applied at least when a request that is
+  /// read now was sent. \p max_transit bounds its time in the network.
   std::uint64_t AppliedBefore(support::Duration max_transit) const;
 
  private:
--- a/lib/control/policy_request_service.cc
+++ b/lib/control/policy_request_service.cc
@@ -28,6 +28,7 @@
 
 void PolicyRequestService::Execute(wire::PolicyRequest request,
                                    const ReplyCallback& done) {
+  // The leader must not set this again: it may read the request late as well.
   if (request.has_zone())
     request.mutable_zone()->set_changes_before(zone_changes_.AppliedBefore(
         std::chrono::milliseconds(request.zone().max_transit_ms())));
--- a/lib/relay/target_tracker.cc
+++ b/lib/relay/target_tracker.cc
@@ -34,12 +34,12 @@
   return announcement.sequence <= latest_announcement_->sequence;
 }
 
-bool TargetTracker::HasDeregistered(const Announcement& announcement) {
+bool TargetTracker::MatchDeregistration(const Announcement& announcement) {
   for (Process& process : deregistered_processes_) {
     if (process.target_id != announcement.target_id)
       continue;
-    // Without a start time the deregistration is that of the first process to
-    // announce itself.
+    // An id alone may belong to several processes, one after the other; the
+    // first to announce itself has deregistered.
     if (process.started_ms == 0)
       process.started_ms = announcement.started_ms;
     if (announcement.started_ms <= process.started_ms)
@@ -49,7 +49,7 @@
 }
 
 void TargetTracker::RememberDeregistration(const Announcement& announcement) {
-  if (HasDeregistered(announcement))
+  if (MatchDeregistration(announcement))
     return;
   deregistered_processes_.push_back(
       {announcement.target_id, announcement.started_ms});
@@ -59,8 +59,8 @@
 
 TargetTracker::AnnouncementEffect TargetTracker::ApplyDeregistration(
     const Announcement& announcement,
-    bool same) {
-  if (!same) {
+    bool from_known_process) {
+  if (!from_known_process) {
     RememberDeregistration(announcement);
     if (!latest_announcement_ ||
         latest_announcement_->target_id != announcement.target_id)
@@ -90,7 +90,7 @@
     return ApplyDeregistration(announcement, same);
   // A deregistered process does not return.
   if ((same && latest_announcement_->state == AnnouncedState::kDeregistered) ||
-      HasDeregistered(announcement))
+      MatchDeregistration(announcement))
     return AnnouncementEffect::kIgnored;
   if (latest_announcement_ &&
       latest_announcement_->target_id != announcement.target_id) {
--- a/lib/relay/target_tracker.h
+++ b/lib/relay/target_tracker.h
@@ -72,12 +72,14 @@
  private:
   bool IsStale(const Announcement& announcement) const;
   /// Returns whether the sender of \p announcement, or a later process with the
-  /// same id, has deregistered without having announced itself.
-  bool HasDeregistered(const Announcement& announcement);
+  /// same id, has deregistered without having announced itself. Relates a
+  /// deregistration without a start time to that sender.
+  bool MatchDeregistration(const Announcement& announcement);
   void RememberDeregistration(const Announcement& announcement);
-  /// \p same: whether the known process has sent \p announcement.
+  /// \p from_known_process is whether the process of latest_announcement_ has
+  /// sent \p announcement.
   AnnouncementEffect ApplyDeregistration(const Announcement& announcement,
-                                         bool same);
+                                         bool from_known_process);
 
   const support::Clock& clock_;
   const std::chrono::milliseconds drain_time_;
