--- a/unittests/platform/late_order_test.cc
+++ b/unittests/platform/late_order_test.cc
@@ -24,8 +24,8 @@
 constexpr auto kFreezeTime = 1500ms;
 constexpr auto kTransitTime = 3s;
 
-const std::string kStart = "/yuccastair/Evacuations.Start/z1";
-const std::string kEnd = "/yuccastair/Evacuations.End/z1";
+constexpr const char* kStart = "/yuccastair/Evacuations.Start/z1";
+constexpr const char* kEnd = "/yuccastair/Evacuations.End/z1";
 
 /// Three control processes and their operators.
 class Operators : private SystemClient {
