--- a/include/yuccastair/consensus/core.h
+++ b/include/yuccastair/consensus/core.h
@@ -54,15 +54,16 @@
   std::size_t snapshot_chunk_bytes = 256 << 10;
   /// A snapshot is taken after this many entries or bytes.
   std::uint64_t snapshot_threshold_entries = 20000;
-  std::size_t snapshot_threshold_bytes = 64 << 20;
-  /// Number of entries covered by the snapshot that the log keeps, for
-  /// followers that are slightly behind.
+  std::size_t snapshot_threshold_bytes = 16 << 20;
+  /// Bounds of the number and total size of the entries covered by the snapshot
+  /// that the log keeps, for followers that are slightly behind.
   std::uint64_t retained_entries = 1000;
+  std::size_t retained_bytes = 4 << 20;
   /// Bounds of the number and total size of the proposals that are not applied
   /// yet. Proposals beyond them end with kNotLeader, because nothing was
-  /// appended.
+  /// appended. A single proposal may be larger.
   std::size_t max_pending_proposals = 65536;
-  std::size_t max_pending_proposal_bytes = 64 << 20;
+  std::size_t max_pending_proposal_bytes = 16 << 20;
 };
 
 enum class Role { kFollower, kPreCandidate, kCandidate, kLeader };
--- a/include/yuccastair/consensus/file_system.h
+++ b/include/yuccastair/consensus/file_system.h
@@ -3,6 +3,7 @@
 #ifndef YUCCASTAIR_CONSENSUS_FILE_SYSTEM_H_
 #define YUCCASTAIR_CONSENSUS_FILE_SYSTEM_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -19,7 +20,11 @@
   /// number. Fails if another process holds the lock.
   virtual std::uint64_t Lock(const std::string& path) = 0;
   virtual bool Exists(const std::string& path) = 0;
-  virtual std::string Read(const std::string& path) = 0;
+  virtual std::uint64_t Size(const std::string& path) = 0;
+  /// Returns \p size bytes from \p offset on, or fewer at the end of the file.
+  virtual std::string Read(const std::string& path,
+                           std::uint64_t offset,
+                           std::size_t size) = 0;
   /// Appends \p data to a file, which is created if missing.
   virtual void Append(const std::string& path, const std::string& data) = 0;
   virtual void Sync(const std::string& path) = 0;
@@ -40,7 +45,10 @@
   void CreateDirectory(const std::string& path) override;
   std::uint64_t Lock(const std::string& path) override;
   bool Exists(const std::string& path) override;
-  std::string Read(const std::string& path) override;
+  std::uint64_t Size(const std::string& path) override;
+  std::string Read(const std::string& path,
+                   std::uint64_t offset,
+                   std::size_t size) override;
   void Append(const std::string& path, const std::string& data) override;
   void Sync(const std::string& path) override;
   void Truncate(const std::string& path, std::uint64_t size) override;
--- a/include/yuccastair/consensus/storage.h
+++ b/include/yuccastair/consensus/storage.h
@@ -4,6 +4,7 @@
 #define YUCCASTAIR_CONSENSUS_STORAGE_H_
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 #include <vector>
@@ -19,8 +20,9 @@
   std::string voted_for;
   std::optional<wire::SnapshotFile> snapshot;
   /// Consecutive entries. They start at most one index after the snapshot and
-  /// may overlap it.
-  std::vector<wire::LogEntry> entries;
+  /// may overlap it; entries before the last one that the snapshot covers may
+  /// be left out.
+  std::deque<wire::LogEntry> entries;
 };
 
 /// Durable storage of term, vote, entries and snapshot.
--- a/lib/consensus/core.cc
+++ b/lib/consensus/core.cc
@@ -195,8 +195,11 @@
 void Core::Impl::Propose(std::string command, ProposeCallback done) {
   const std::size_t pending =
       queued_proposals_.size() + appended_callbacks_.size();
+  const bool exceeds_bytes =
+      pending > 0 &&
+      proposal_bytes_ + command.size() > options_.max_pending_proposal_bytes;
   if (!IsCurrentLeader() || pending >= options_.max_pending_proposals ||
-      proposal_bytes_ >= options_.max_pending_proposal_bytes)
+      exceeds_bytes)
     return done({});
   proposal_bytes_ += command.size();
   queued_proposals_.push_back({std::move(command), std::move(done)});
--- a/lib/consensus/core_snapshot.cc
+++ b/lib/consensus/core_snapshot.cc
@@ -18,8 +18,8 @@
   meta->set_term(*log_.TermAt(applied_index_));
   *meta->mutable_config() = log_.ConfigAt(applied_index_);
   snapshot.set_data(env_.state_machine.TakeSnapshot());
-  const std::uint64_t last_dropped =
-      applied_index_ - std::min(applied_index_, options_.retained_entries);
+  const std::uint64_t last_dropped = log_.LastIndexBeyond(
+      applied_index_, options_.retained_entries, options_.retained_bytes);
   env_.storage.SaveSnapshot(snapshot, log_.EntriesFrom(last_dropped + 1));
   log_.DropThrough(last_dropped);
   snapshot_index_ = applied_index_;
--- a/lib/consensus/disk_storage.cc
+++ b/lib/consensus/disk_storage.cc
@@ -21,7 +21,7 @@
   throw support::Error("open data directory", "", path + ": " + message);
 }
 
-void ReplaceEntriesFrom(std::vector<wire::LogEntry>& entries,
+void ReplaceEntriesFrom(std::deque<wire::LogEntry>& entries,
                         wire::LogEntry entry) {
   while (!entries.empty() && entries.back().index() >= entry.index())
     entries.pop_back();
@@ -63,14 +63,13 @@
 
 void DiskStorage::LoadLog() {
   const std::string path = Path(kLogFileName);
-  const std::string bytes = file_system_.Read(path);
-  const DecodedFrames frames = DecodeFrames(bytes, path);
-  if (frames.payloads.empty())
-    ThrowDamaged(path, "the file is empty");
-  for (const std::string_view payload : frames.payloads) {
+  const std::uint64_t snapshot_index =
+      loaded_state_.snapshot ? loaded_state_.snapshot->meta().index() : 0;
+  FrameReader reader(file_system_, path);
+  while (const auto payload = reader.Next()) {
     wire::LogFrame frame;
-    if (!frame.ParseFromArray(payload.data(),
-                              static_cast<int>(payload.size())) ||
+    if (!frame.ParseFromArray(payload->data(),
+                              static_cast<int>(payload->size())) ||
         frame.sequence() != last_sequence_ + 1)
       ThrowDamaged(path, "record " + std::to_string(last_sequence_ + 1) +
                              " is missing or malformed");
@@ -93,22 +92,27 @@
         ThrowDamaged(path, "entries before " + std::to_string(entry.index()) +
                                " are missing");
       ReplaceEntriesFrom(loaded_state_.entries, std::move(entry));
+      // An earlier entry only tells whether the log continues the snapshot,
+      // for which the last one suffices.
+      while (loaded_state_.entries.size() > 1 &&
+             loaded_state_.entries.front().index() < snapshot_index)
+        loaded_state_.entries.pop_front();
     }
   }
-  const std::uint64_t snapshot_index =
-      loaded_state_.snapshot ? loaded_state_.snapshot->meta().index() : 0;
+  if (last_sequence_ == 0)
+    ThrowDamaged(path, "the file is empty");
   if (!loaded_state_.entries.empty() &&
       loaded_state_.entries.front().index() > snapshot_index + 1)
     ThrowDamaged(path,
                  "the snapshot that precedes entry " +
                      std::to_string(loaded_state_.entries.front().index()) +
                      " is missing");
-  if (frames.intact_bytes == bytes.size())
+  if (reader.intact_bytes() == reader.file_bytes())
     return;
   support::LogWarning(
       "log.torn_record_truncated",
-      {{"path", path}, {"bytes", bytes.size() - frames.intact_bytes}});
-  file_system_.Truncate(path, frames.intact_bytes);
+      {{"path", path}, {"bytes", reader.file_bytes() - reader.intact_bytes()}});
+  file_system_.Truncate(path, reader.intact_bytes());
   file_system_.Sync(path);
 }
 
@@ -136,8 +140,7 @@
   pending_frame_.set_sequence(++last_sequence_);
   pending_frame_.set_term(term_);
   pending_frame_.set_vote(voted_for_);
-  file_system_.Append(Path(kLogFileName),
-                      EncodeFrame(pending_frame_.SerializeAsString()));
+  file_system_.Append(Path(kLogFileName), EncodeFrame(pending_frame_));
   file_system_.Sync(Path(kLogFileName));
   pending_frame_.Clear();
   has_unsynced_changes_ = false;
@@ -148,18 +151,18 @@
   // The snapshot is replaced first. If the process stops before the log is
   // replaced, the next start reads the new snapshot with the old log, which is
   // consistent as well.
-  ReplaceFile(kSnapshotFileName, EncodeFrame(snapshot.SerializeAsString()));
+  ReplaceFile(kSnapshotFileName, EncodeFrame(snapshot));
   RewriteLog(retained);
 }
 
 wire::SnapshotFile DiskStorage::ReadSnapshot() {
   const std::string path = Path(kSnapshotFileName);
-  const std::string bytes = file_system_.Read(path);
-  const DecodedFrames frames = DecodeFrames(bytes, path);
+  FrameReader reader(file_system_, path);
+  const auto payload = reader.Next();
   wire::SnapshotFile snapshot;
-  if (frames.payloads.size() != 1 || frames.intact_bytes != bytes.size() ||
-      !snapshot.ParseFromArray(frames.payloads[0].data(),
-                               static_cast<int>(frames.payloads[0].size())))
+  if (!payload || reader.intact_bytes() != reader.file_bytes() ||
+      !snapshot.ParseFromArray(payload->data(),
+                               static_cast<int>(payload->size())))
     ThrowDamaged(path, "the snapshot is damaged");
   return snapshot;
 }
@@ -174,7 +177,7 @@
   pending_frame_.set_vote(voted_for_);
   for (const wire::LogEntry& entry : entries)
     *pending_frame_.add_entries() = entry;
-  ReplaceFile(kLogFileName, EncodeFrame(pending_frame_.SerializeAsString()));
+  ReplaceFile(kLogFileName, EncodeFrame(pending_frame_));
   pending_frame_.Clear();
   has_unsynced_changes_ = false;
 }
--- a/lib/consensus/entry_log.cc
+++ b/lib/consensus/entry_log.cc
@@ -15,6 +15,20 @@
   return EntryAt(index).term();
 }
 
+std::uint64_t EntryLog::LastIndexBeyond(std::uint64_t index,
+                                        std::uint64_t max_entries,
+                                        std::size_t max_bytes) const {
+  const std::uint64_t oldest_kept = index - std::min(index, max_entries) + 1;
+  std::size_t bytes = 0;
+  while (index >= std::max(oldest_kept, first_index())) {
+    bytes += EntryAt(index).payload().size();
+    if (bytes > max_bytes)
+      break;
+    --index;
+  }
+  return index;
+}
+
 void EntryLog::Append(wire::LogEntry entry) {
   assert(entry.index() == last_index() + 1 && "entries must be consecutive");
   if (entry.kind() == wire::ENTRY_KIND_CONFIG) {
@@ -22,15 +36,12 @@
     config.ParseFromString(entry.payload());
     configs_.emplace_back(entry.index(), std::move(config));
   }
-  bytes_ += entry.payload().size();
   entries_.push_back(std::move(entry));
 }
 
 void EntryLog::TruncateFrom(std::uint64_t index) {
-  while (last_index() >= index && !entries_.empty()) {
-    bytes_ -= entries_.back().payload().size();
+  while (last_index() >= index && !entries_.empty())
     entries_.pop_back();
-  }
   while (configs_.size() > 1 && configs_.back().first >= index)
     configs_.pop_back();
 }
@@ -39,7 +50,6 @@
   while (base_index_ < index && !entries_.empty()) {
     base_term_ = entries_.front().term();
     ++base_index_;
-    bytes_ -= entries_.front().payload().size();
     entries_.pop_front();
   }
   while (configs_.size() > 1 && configs_[1].first <= base_index_)
@@ -48,7 +58,6 @@
 
 void EntryLog::Reset(const wire::SnapshotMeta& meta) {
   entries_.clear();
-  bytes_ = 0;
   base_index_ = meta.index();
   base_term_ = meta.term();
   configs_.assign(1, {meta.index(), meta.config()});
--- a/lib/consensus/entry_log.h
+++ b/lib/consensus/entry_log.h
@@ -23,7 +23,6 @@
   std::uint64_t last_term() const { return *TermAt(last_index()); }
   /// Index of the oldest entry held.
   std::uint64_t first_index() const { return base_index_ + 1; }
-  std::size_t bytes() const { return bytes_; }
 
   /// Returns the term of an entry, or of the one just before the oldest entry
   /// held; nothing for any other index.
@@ -33,6 +32,13 @@
     return entries_[index - base_index_ - 1];
   }
 
+  /// Returns the index of the newest entry that does not belong to the last \p
+  /// max_entries entries up to \p index, or to those with at most \p max_bytes
+  /// in total.
+  std::uint64_t LastIndexBeyond(std::uint64_t index,
+                                std::uint64_t max_entries,
+                                std::size_t max_bytes) const;
+
   void Append(wire::LogEntry entry);
   /// Drops the entries from \p index on.
   void TruncateFrom(std::uint64_t index);
@@ -54,7 +60,6 @@
   std::uint64_t base_index_ = 0;
   std::uint64_t base_term_ = 0;
   std::deque<wire::LogEntry> entries_;
-  std::size_t bytes_ = 0;
   // Ascending by index; never empty.
   std::deque<std::pair<std::uint64_t, wire::ConsensusConfig>> configs_{{0, {}}};
 };
--- a/lib/consensus/file_system.cc
+++ b/lib/consensus/file_system.cc
@@ -11,7 +11,6 @@
 #include <cstring>
 #include <filesystem>
 #include <fstream>
-#include <sstream>
 
 #include "yuccastair/support/error.h"
 
@@ -68,14 +67,24 @@
   return false;
 }
 
-std::string PosixFileSystem::Read(const std::string& path) {
+std::uint64_t PosixFileSystem::Size(const std::string& path) {
+  struct stat status {};
+  if (stat(path.c_str(), &status) != 0)
+    ThrowErrno("look up file", path);
+  return static_cast<std::uint64_t>(status.st_size);
+}
+
+std::string PosixFileSystem::Read(const std::string& path,
+                                  std::uint64_t offset,
+                                  std::size_t size) {
   std::ifstream file(path, std::ios::binary);
-  std::ostringstream content;
-  if (file.peek() != std::ifstream::traits_type::eof())
-    content << file.rdbuf();
-  if (file.bad() || content.bad() || !file.is_open())
+  std::string content(size, '\0');
+  file.seekg(static_cast<std::streamoff>(offset));
+  file.read(content.data(), static_cast<std::streamsize>(size));
+  if (file.bad() || !file.is_open())
     ThrowErrno("read file", path);
-  return content.str();
+  content.resize(static_cast<std::size_t>(file.gcount()));
+  return content;
 }
 
 int PosixFileSystem::WriteDescriptor(const std::string& path) {
--- a/lib/consensus/frame.cc
+++ b/lib/consensus/frame.cc
@@ -4,11 +4,12 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <bit>
 #include <cstdint>
 #include <cstring>
-#include <limits>
 #include <optional>
+#include <utility>
 
 #include "yuccastair/support/error.h"
 
@@ -18,6 +19,8 @@
 static_assert(std::endian::native == std::endian::little);
 
 constexpr std::uint32_t kFrameMagic = 0x314c4359;  // "YCL1"
+// Size of a read, unless a frame is larger.
+constexpr std::size_t kReadBytes = std::size_t{1} << 20;
 
 struct FrameHeader {
   std::uint32_t magic = kFrameMagic;
@@ -67,47 +70,67 @@
   return false;
 }
 
-/// Returns whether the invalid frame at the start of \p bytes is the last one.
-bool IsTornTail(std::string_view bytes) {
-  if (const auto header = DecodeHeader(bytes))
-    return bytes.size() - sizeof(FrameHeader) <= header->length;
-  return !ContainsFrame(bytes.substr(1));
-}
-
 }  // namespace
 
-std::string EncodeFrame(std::string_view payload) {
-  if (payload.size() > std::numeric_limits<std::uint32_t>::max())
-    throw support::Error("encode frame", "", "payload exceeds 4 GiB");
+std::string EncodeFrame(const google::protobuf::MessageLite& message) {
+  std::string frame(sizeof(FrameHeader), '\0');
+  if (!message.AppendToString(&frame))
+    throw support::Error("encode frame", "",
+                         message.GetTypeName() + " exceeds 2 GiB");
+  const std::string_view payload =
+      std::string_view(frame).substr(sizeof(FrameHeader));
   FrameHeader header;
   header.length = static_cast<std::uint32_t>(payload.size());
   header.payload_hash = XXH3_64bits(payload.data(), payload.size());
   header.header_hash = HashHeader(header);
-  std::string frame(reinterpret_cast<const char*>(&header), sizeof header);
-  frame.append(payload);
+  std::memcpy(frame.data(), &header, sizeof header);
   return frame;
 }
 
-DecodedFrames DecodeFrames(std::string_view bytes, const std::string& path) {
-  DecodedFrames frames;
-  while (frames.intact_bytes < bytes.size()) {
-    const std::string_view remaining = bytes.substr(frames.intact_bytes);
-    const auto payload = DecodePayload(remaining);
-    if (!payload) {
-      // A file is renamed into place only once its first frame is complete, so
-      // the first frame is never torn.
-      if (frames.intact_bytes > 0 && IsTornTail(remaining))
-        break;
-      throw support::Error("read log file", "",
-                           path + ": damaged record at byte " +
-                               std::to_string(frames.intact_bytes) +
-                               "; remove the data directory so that the "
-                               "process rejoins as a new member");
-    }
-    frames.payloads.push_back(*payload);
-    frames.intact_bytes += sizeof(FrameHeader) + payload->size();
+FrameReader::FrameReader(FileSystem& files, std::string path)
+    : files_(files), path_(std::move(path)), file_bytes_(files.Size(path_)) {}
+
+std::string_view FrameReader::Remaining(std::uint64_t size) {
+  const std::uint64_t end = std::min(file_bytes_, intact_bytes_ + size);
+  if (end > buffer_offset_ + buffer_.size()) {
+    // Released first, so that only one buffer is held.
+    std::string().swap(buffer_);
+    buffer_offset_ = intact_bytes_;
+    buffer_ = files_.Read(path_, intact_bytes_,
+                          std::max<std::size_t>(size, kReadBytes));
   }
-  return frames;
+  return std::string_view(buffer_).substr(intact_bytes_ - buffer_offset_);
+}
+
+std::optional<std::string_view> FrameReader::Next() {
+  if (intact_bytes_ >= file_bytes_)
+    return std::nullopt;
+  std::string_view bytes = Remaining(sizeof(FrameHeader));
+  const auto header = DecodeHeader(bytes);
+  if (header)
+    bytes = Remaining(sizeof(FrameHeader) + std::uint64_t{header->length});
+  const auto payload = DecodePayload(bytes);
+  if (payload) {
+    intact_bytes_ += sizeof(FrameHeader) + payload->size();
+    return payload;
+  }
+  // A file is renamed into place only once its first frame is complete, so the
+  // first frame is never torn.
+  if (intact_bytes_ > 0 && IsTornTail(bytes))
+    return std::nullopt;
+  throw support::Error(
+      "read log file", "",
+      path_ + ": damaged record at byte " + std::to_string(intact_bytes_) +
+          "; remove the data directory so that the process rejoins as a new "
+          "member");
+}
+
+/// Returns whether the invalid frame at the start of \p bytes is the last one.
+bool FrameReader::IsTornTail(std::string_view bytes) {
+  const std::uint64_t remaining = file_bytes_ - intact_bytes_;
+  if (const auto header = DecodeHeader(bytes))
+    return remaining - sizeof(FrameHeader) <= header->length;
+  return !ContainsFrame(Remaining(remaining).substr(1));
 }
 
 }  // namespace yuccastair::consensus
--- a/lib/consensus/frame.h
+++ b/lib/consensus/frame.h
@@ -3,29 +3,52 @@
 #ifndef YUCCASTAIR_LIB_CONSENSUS_FRAME_H_
 #define YUCCASTAIR_LIB_CONSENSUS_FRAME_H_
 
+#include <google/protobuf/message_lite.h>
+
 #include <cstddef>
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
-namespace yuccastair::consensus {
+#include "yuccastair/consensus/file_system.h"
 
-/// Returns \p payload with a header of magic number, length and checksums.
-/// Numbers are little-endian, as on all supported platforms.
-std::string EncodeFrame(std::string_view payload);
+namespace yuccastair::consensus {
 
-struct DecodedFrames {
-  /// Views into the decoded bytes.
-  std::vector<std::string_view> payloads;
-  /// Length of the intact frames in bytes; any remaining bytes are one torn
-  /// frame.
-  std::size_t intact_bytes = 0;
+/// Returns the encoded \p message behind a header of magic number, length and
+/// checksums. Numbers are little-endian, as on all supported platforms.
+std::string EncodeFrame(const google::protobuf::MessageLite& message);
+
+/// Reads the frames of a file one after the other. Holds one frame at a time,
+/// since a file may be much larger than what is used of it.
+class FrameReader {
+ public:
+  FrameReader(FileSystem& files, std::string path);
+
+  /// Returns the payload of the next frame, valid until the next call; nothing
+  /// at the end of the file or at a last frame that is torn. Throws Error if
+  /// any other frame is damaged.
+  std::optional<std::string_view> Next();
+
+  /// Length of the intact frames so far.
+  std::uint64_t intact_bytes() const { return intact_bytes_; }
+  std::uint64_t file_bytes() const { return file_bytes_; }
+
+ private:
+  /// Holds at least \p size bytes of the file behind the intact frames, if
+  /// there are so many.
+  std::string_view Remaining(std::uint64_t size);
+  bool IsTornTail(std::string_view bytes);
+
+  FileSystem& files_;
+  const std::string path_;
+  const std::uint64_t file_bytes_;
+  std::uint64_t intact_bytes_ = 0;
+  // Bytes of the file from buffer_offset_ on.
+  std::string buffer_;
+  std::uint64_t buffer_offset_ = 0;
 };
 
-/// Splits \p bytes into frames. Throws Error that names \p path if a frame
-/// other than the last is damaged.
-DecodedFrames DecodeFrames(std::string_view bytes, const std::string& path);
-
 }  // namespace yuccastair::consensus
 
 #endif  // YUCCASTAIR_LIB_CONSENSUS_FRAME_H_
--- a/unittests/consensus/in_memory_file_system.h
+++ b/unittests/consensus/in_memory_file_system.h
@@ -34,7 +34,15 @@
   bool Exists(const std::string& path) override {
     return file_ids_.count(path);
   }
-  std::string Read(const std::string& path) override { return At(path).data; }
+  std::uint64_t Size(const std::string& path) override {
+    return At(path).data.size();
+  }
+  std::string Read(const std::string& path,
+                   std::uint64_t offset,
+                   std::size_t size) override {
+    const std::string& data = At(path).data;
+    return data.substr(std::min<std::size_t>(offset, data.size()), size);
+  }
   void Append(const std::string& path, const std::string& data) override {
     if (file_ids_.try_emplace(path, next_file_id_).second)
       ++next_file_id_;
