Refuse the requests that wait when a relay ends

Callers saw: connections that close without an answer at a planned stop of a relay.

Cause: the end of the drain stopped the event loop, and nothing ended the waits before. Requests that wait at another relay were lost in the same way. Ruled out: refusals that are made and lost.

Change: 150 ms before the end of the drain RequestGate::EndWaits() tells each request inside. One that waits for the own target is refused; for one that waits at another relay the sending side of the connection is closed, and the other relay answers that the call has not run. No other attempt begins.

--- a/include/yuccastair/stream/client.h
+++ b/include/yuccastair/stream/client.h
@@ -40,6 +40,8 @@
   bool IsQuiet();
   /// Whether the server has closed or reset the connection. False while there
   /// are bytes to be read.
+  /// Tells the server that no more bytes follow. An answer can still be read.
+  void CloseSend();
   bool IsGone();
   /// Whether nothing is left over after the message that was read last.
   bool IsClean() const { return buffer_.size() == 0; }
--- a/lib/relay/call.h
+++ b/lib/relay/call.h
@@ -18,10 +18,14 @@
 namespace yuccastair::relay {
 
 /// Notifies the component that currently holds a call when its caller
-/// disconnects.
+/// disconnects, and when a call that still waits must not wait any longer.
 class Cancellation {
  public:
+  /// Whether the caller has disconnected.
   bool requested() const { return requested_; }
+  /// Whether the relay is about to stop, so that the call must end with a
+  /// refusal unless it is already running.
+  bool wait_ended() const { return wait_ended_; }
 
   /// Sets the function that CheckCaller() uses to test whether the caller has
   /// disconnected. \p disconnect_check must stay valid until the call has
@@ -53,11 +57,30 @@
     else
       handler_ = std::move(handler);
   }
-  void ClearHandler() { handler_ = nullptr; }
+  /// Ends a wait for a target; a call that runs is not affected.
+  void EndWait() {
+    wait_ended_ = true;
+    if (wait_handler_)
+      std::exchange(wait_handler_, nullptr)();
+  }
+  /// Sets the function to call when the wait ends, as SetHandler() does.
+  void SetWaitHandler(std::function<void()> handler) {
+    if (wait_ended_)
+      handler();
+    else
+      wait_handler_ = std::move(handler);
+  }
+
+  void ClearHandlers() {
+    handler_ = nullptr;
+    wait_handler_ = nullptr;
+  }
 
  private:
   bool requested_ = false;
+  bool wait_ended_ = false;
   std::function<void()> handler_;
+  std::function<void()> wait_handler_;
   std::function<bool()> disconnect_check_;
 };
 
--- a/lib/relay/call_exchange.cc
+++ b/lib/relay/call_exchange.cc
@@ -143,7 +143,7 @@
                     RelayCall& call,
                     CallResult& result) {
   if (result.body.whole()) {
-    call.cancellation.ClearHandler();
+    call.cancellation.ClearHandlers();
     return;
   }
   result.on_body_end = [connection](bool whole) {
--- a/lib/relay/peer_client.cc
+++ b/lib/relay/peer_client.cc
@@ -52,6 +52,10 @@
     co_return CallResult::NotRun("the caller has left");
   }
   call.cancellation.SetHandler([connection] { connection->Close(); });
+  // The other relay answers whether it has sent the call to its target. The end
+  // of an upload under way would break off the call itself.
+  if (call.body.whole())
+    call.cancellation.SetWaitHandler([connection] { connection->CloseSend(); });
   http::header<true> head = EncodeCall(call, clock_.Now());
   std::function<bool(const http::header<false>&)> accept =
       [](const http::header<false>&) { return true; };
@@ -59,7 +63,7 @@
       context_, connection, std::move(head), call, std::move(accept));
   CallResult result;
   if (error || !DecodeResult(connection->reader().head().base(), result)) {
-    call.cancellation.ClearHandler();
+    call.cancellation.ClearHandlers();
     connection->Close();
     // Other idle connections to the relay have probably failed for the same
     // reason.
--- a/lib/relay/relay.cc
+++ b/lib/relay/relay.cc
@@ -50,6 +50,9 @@
 // deadline; then only if it lies before the end of the drain.
 constexpr milliseconds kTargetCallTime{500};
 // Time in which callers read the last answers and close their connections.
+// Requests that still wait are refused this long before the end of the drain:
+// the time of an exchange with another relay and of sending the refusals.
+constexpr milliseconds kRefusalTime{150};
 constexpr milliseconds kMaxCloseTime{200};
 // Time reserved between the end of the drain and the required exit of the
 // process.
@@ -258,13 +261,17 @@
       metrics_.Count("yuccastair_stopping_refusals_total", {{"from", "relay"}});
       result = CallResult::NotRun(kRelayIsStopping);
       result.load = target_proxy_.Load();
-      result.load->set_state(wire::TARGET_STATE_LEAVING);
     } else if (announced != nullptr && announced->service != call.service) {
       result = CallResult::NotRun("the target is of another service");
+    if (pass)
+      pass->SetCancellation(call.cancellation);
     } else {
       result = co_await target_proxy_.Run(call);
     }
-    if (call.cancellation.requested()) {
+    // A relay that closes its sending side still reads whether the call ran.
+    const bool is_of_use = !call.cancellation.requested() ||
+                           result.outcome == wire::OUTCOME_NOT_RUN;
+    if (!is_of_use) {
       if (result.on_body_end)
         result.on_body_end(false);
       exchange.Abort();
@@ -280,6 +287,8 @@
 
   Task<void> HandleTargetCall(stream::ServerExchange& exchange) {
     stream::BodySource body;
+    if (stopping_ && result.load)
+      result.load->set_state(wire::TARGET_STATE_LEAVING);
     const stream::ErrorCode error = co_await exchange.ReadBody(body);
     if (error || !body.whole()) {
       exchange.Abort();
@@ -513,6 +522,8 @@
   wire::TargetProcess restored_departure_;
   bool stopping_ = false;
   const support::SteadyClock clock_{};
+    co_await WaitUntil(end - kRefusalTime, all_answered);
+    gate_.EndWaits();
   const support::BootClock boot_clock_{};
   asio::io_context context_{1};
   observe::Metrics metrics_;
--- a/lib/relay/request_handler.cc
+++ b/lib/relay/request_handler.cc
@@ -93,6 +93,7 @@
     co_return;
   }
   RelayCall& call = request.call;
+  pass->SetCancellation(call.cancellation);
   WatchForDisconnect(exchange, call);
   if (call.cancellation.CheckCaller()) {
     co_await Respond(exchange, request,
@@ -346,7 +347,8 @@
                               const CallResult& result) {
   const RelayCall& call = request.call;
   // A long body is not buffered and cannot be sent again.
-  if (call.cancellation.requested() || !call.body.whole() ||
+  if (call.cancellation.requested() || call.cancellation.wait_ended() ||
+      !call.body.whole() ||
       request.tried_targets.size() >= kMaxOfferedTargets ||
       result.downstream_overloaded)
     return false;
--- a/lib/relay/request_response.cc
+++ b/lib/relay/request_response.cc
@@ -112,7 +112,9 @@
   const support::TimePoint now = deps_.clock.Now();
   const milliseconds left = RemainingTime(request.call.deadline, now);
   if (!request.may_have_run)
-    return {503, result.reason, RandomRetryAfter(request)};
+    return request.call.cancellation.wait_ended()
+               ? RefusalOfStoppingRelay(request)
+               : Rejection{503, result.reason, RandomRetryAfter(request)};
   return {left.count() == 0 ? 504U : 502U, result.reason};
 }
 
--- a/lib/relay/target_exchange.cc
+++ b/lib/relay/target_exchange.cc
@@ -91,7 +91,7 @@
       context_, connection, std::move(head), call, std::move(accept));
   std::erase(open_exchanges_, connection);
   if (error) {
-    call.cancellation.ClearHandler();
+    call.cancellation.ClearHandlers();
     connection->Close();
     if (call.cancellation.requested()) {
       end = ExchangeOutcome::kCancelled;
--- a/lib/relay/target_proxy.cc
+++ b/lib/relay/target_proxy.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "request_gate.h"
 #include "yuccastair/support/log.h"
 
 namespace yuccastair::relay {
@@ -189,28 +190,33 @@
   admission::Admission::Decisions decisions;
   admission_.Arrive(arrival, decisions);
   DeliverDecisions(decisions);
-  if (!waiting->decision && !call.cancellation.requested()) {
-    call.cancellation.SetHandler(
-        [waiting] { waiting->decision_timer.cancel(); });
+  if (!waiting->decision && !call.cancellation.requested() &&
+      !call.cancellation.wait_ended()) {
+    const auto end_wait = [waiting] { waiting->decision_timer.cancel(); };
+    call.cancellation.SetHandler(end_wait);
+    call.cancellation.SetWaitHandler(end_wait);
     co_await waiting->decision_timer.async_wait(stream::kAsTuple);
-    call.cancellation.ClearHandler();
+    call.cancellation.ClearHandlers();
   }
   pending_admissions_.erase(id);
   if (waiting->decision)
     co_return *waiting->decision;
-  // The caller has disconnected.
   admission_.Cancel(id);
-  admission::Decision left;
-  left.id = id;
-  left.reason = admission::Reason::kDeadlinePassed;
-  co_return left;
+  admission::Decision unadmitted;
+  unadmitted.id = id;
+  unadmitted.reason = call.cancellation.requested()
+                          ? admission::Reason::kDeadlinePassed
+                          : admission::Reason::kStopping;
+  co_return unadmitted;
 }
 
 CallResult TargetProxy::RejectedResult(
     const RelayCall& call,
     const admission::Decision& decision) const {
   CallResult rejection =
-      CallResult::NotRun(admission::ReasonText(decision.reason));
+      CallResult::NotRun(decision.reason == admission::Reason::kStopping
+                             ? kRelayIsStopping
+                             : admission::ReasonText(decision.reason));
   rejection.retry_after = kDefaultRetryAfter;
   rejection.load = Load();
   metrics_.Count("yuccastair_target_refusals_total",
--- a/lib/stream/client.cc
+++ b/lib/stream/client.cc
@@ -17,6 +17,11 @@
   return stream::StateOf(stream_.socket()) == SocketState::kGone;
 }
 
+void ClientConnection::CloseSend() {
+  ErrorCode ignored;  // Fails only on a connection that has ended.
+  stream_.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
 void ClientConnection::Close() {
   ErrorCode ignored;  // Closing cannot be retried.
   stream_.socket().close(ignored);
--- a/unittests/relay/cancellation_test.cc
+++ b/unittests/relay/cancellation_test.cc
@@ -31,7 +31,7 @@
   Cancellation cancellation;
   int calls = 0;
   cancellation.SetHandler([&] { ++calls; });
-  cancellation.ClearHandler();
+  cancellation.ClearHandlers();
   cancellation.Request();
   CHECK(calls == 0);
   CHECK(cancellation.requested());
--- a/unittests/relay/request_gate_test.cc
+++ b/unittests/relay/request_gate_test.cc
@@ -39,6 +39,28 @@
   CHECK(gate.refused(Origin::kTargetCall) == 1);
 }
 
+// Guards against accepted requests that wait until the relay has ended.
+TEST_CASE("the end of waits reaches the requests inside and later ones") {
+  RequestGate gate;
+  Cancellation waiting;
+  Cancellation running;
+  Cancellation later;
+  int refused = 0;
+  const auto first = gate.Enter("r", Origin::kCaller, kEnd);
+  first->SetCancellation(waiting);
+  waiting.SetWaitHandler([&refused] { ++refused; });
+  const auto second = gate.Enter("r", Origin::kRelay, kEnd);
+  second->SetCancellation(running);
+  const auto unread = gate.Enter("r", Origin::kCaller, kEnd);
+  gate.EndWaits();
+  CHECK(refused == 1);
+  CHECK(running.wait_ended());
+  CHECK_FALSE(running.requested());
+  unread->SetCancellation(later);
+  later.SetWaitHandler([&refused] { ++refused; });
+  CHECK(refused == 2);
+}
+
 TEST_CASE("requests count until they are answered, also after the gate's end") {
   auto gate = std::make_unique<RequestGate>();
   auto first = gate->Enter("a", Origin::kCaller, kEnd);
