Acknowledge a departure once the replicated log holds it

Cause: the acknowledgement depended on the memory of the relay alone, and control processes kept what they learnt from it for 3 s. Ruled out: a control process that holds the departure and does not hand it back, and a heartbeat that is used before the first answer of a control process.

Change: the table TABLE_DEPARTURES of the replicated log holds the last departure of each node's target. After 3 s it acknowledges without the log, so that a target can leave while control processes are out of reach. Each sync hands the departure to a restarted relay.

--- a/lib/control/control.cc
+++ b/lib/control/control.cc
@@ -15,6 +15,7 @@
 
 #include "claim_service.h"
 #include "crash_service.h"
+#include "departure_service.h"
 #include "log_runner.h"
 #include "operator_api.h"
 #include "policy_request_service.h"
@@ -25,6 +26,7 @@
 #include "yuccastair/claims/claim_table.h"
 #include "yuccastair/claims/fingerprint_table.h"
 #include "yuccastair/http/server.h"
+#include "yuccastair/membership/departure_table.h"
 #include "yuccastair/membership/registry.h"
 #include "yuccastair/membership/target_availability_monitor.h"
 #include "yuccastair/observe/event_log.h"
@@ -90,6 +92,7 @@
         claim_service_(log_, claim_table_, clock_),
         crash_service_(log_, fingerprint_table_, clock_),
         route_need_service_(log_, route_needs_table_),
+        departure_service_(log_, departure_table_),
         policy_request_service_(log_,
                                 policy_table_,
                                 clock_,
@@ -108,6 +111,7 @@
     log_.Register(wire::TABLE_FINGERPRINTS, fingerprint_table_);
     log_.Register(wire::TABLE_POLICY, policy_table_);
     log_.Register(wire::TABLE_ROUTE_NEEDS, route_needs_table_);
+    log_.Register(wire::TABLE_DEPARTURES, departure_table_);
     metrics_.RegisterGauge("yuccastair_services_without_target", [this] {
       return static_cast<double>(services_without_target_.load());
     });
@@ -202,6 +206,7 @@
                                     *reply.mutable_fingerprints());
       policy_request_service_.FillReply(sync, reply);
       route_need_service_.FillReply(sync, reply);
+      departure_service_.FillReply(sync, reply);
       for (const std::string& address : log_.ControlAddresses()) {
         reply.add_control_addresses(address);
         reply.add_control_zones(address == settings_.peer_listen.ToString()
@@ -334,6 +339,12 @@
       route_need_service_.Handle(request.envelope.route_need_report());
       return;
     }
+    if (request.envelope.has_departure_report()) {
+      departure_service_.Handle(
+          request.envelope.departure_report(),
+          MakeReplyCallback(request, &wire::Envelope::mutable_departure_reply));
+      return;
+    }
     if (request.envelope.has_policy_request()) {
       policy_request_service_.ExecuteAsLeader(
           request.envelope.policy_request(),
@@ -465,6 +476,7 @@
   claims::ClaimTable claim_table_;
   claims::FingerprintTable fingerprint_table_;
   claims::RouteNeedsTable route_needs_table_;
+  membership::DepartureTable departure_table_;
   policy::PolicyTable policy_table_;
   LogRunner log_;
   SettingsSync settings_sync_;
@@ -472,6 +484,7 @@
   ClaimService claim_service_;
   CrashService crash_service_;
   RouteNeedService route_need_service_;
+  DepartureService departure_service_;
   PolicyRequestService policy_request_service_;
   SyncService sync_service_;
   std::vector<std::string> peer_addresses_;
--- a/lib/relay/control_link.cc
+++ b/lib/relay/control_link.cc
@@ -96,6 +96,16 @@
   Send(leader_, std::move(envelope));
 }
 
+void ControlLink::SendDeparture(const wire::DepartureReport& report) {
+  if (leader_.empty())
+    return;
+  wire::Envelope envelope;
+  *envelope.mutable_departure_report() = report;
+  departure_correlation_ = next_correlation_++;
+  envelope.set_correlation(departure_correlation_);
+  Send(leader_, std::move(envelope));
+}
+
 void ControlLink::Send(const std::string& address, wire::Envelope envelope) {
   RecordTraffic(address, envelope);
   transport_.Send(address, std::move(envelope));
@@ -122,6 +132,12 @@
     if (!reply.leader_address().empty())
       leader_ = reply.leader_address();
     options_.apply_crash_reply(reply);
+  } else if (envelope.has_departure_reply() &&
+             envelope.correlation() == departure_correlation_) {
+    const wire::DepartureReply& reply = envelope.departure_reply();
+    if (!reply.leader_address().empty())
+      leader_ = reply.leader_address();
+    options_.apply_departure_reply(reply);
   } else if (envelope.has_sync_reply() && awaited_correlation_ != 0 &&
              envelope.correlation() == awaited_correlation_) {
     reply_ = std::move(*envelope.mutable_sync_reply());
--- a/lib/relay/control_link.h
+++ b/lib/relay/control_link.h
@@ -34,6 +34,7 @@
     std::function<void(const wire::SyncReply&)> apply_reply;
     std::function<void(const wire::RateGrant&)> apply_grant;
     std::function<void(const wire::CrashReportReply&)> apply_crash_reply;
+    std::function<void(const wire::DepartureReply&)> apply_departure_reply;
     /// Called when no known control process replies: the seeds in the settings
     /// may have changed without a signal.
     std::function<void()> reload_seeds;
@@ -51,6 +52,8 @@
   void SendRouteNeeds(const wire::RouteNeedReport& report);
   /// Replies to an earlier report are no longer passed on.
   void SendCrashReport(const wire::CrashReport& report);
+  /// Replies to an earlier report are no longer passed on.
+  void SendDeparture(const wire::DepartureReport& report);
   void SetSeeds(std::vector<std::string> seeds);
 
   /// Latest time at which the view of this relay was known to be current.
@@ -94,6 +97,7 @@
   std::uint64_t next_correlation_ = 1;
   std::uint64_t awaited_correlation_ = 0;
   std::uint64_t crash_report_correlation_ = 0;
+  std::uint64_t departure_correlation_ = 0;
   std::optional<wire::SyncReply> reply_;
   // Whether the awaited request was dropped for lack of a connection.
   bool undelivered_ = false;
--- a/lib/relay/relay.cc
+++ b/lib/relay/relay.cc
@@ -12,6 +12,7 @@
 
 #include "call_exchange.h"
 #include "control_link.h"
+#include "departure_recorder.h"
 #include "fleet_state.h"
 #include "peer_client.h"
 #include "peer_protocol.h"
@@ -49,10 +50,10 @@
 // Calls of the local target are taken for so much longer, whatever their
 // deadline; then only if it lies before the end of the drain.
 constexpr milliseconds kTargetCallTime{500};
-// Time in which callers read the last answers and close their connections.
 // Requests that still wait are refused this long before the end of the drain:
 // the time of an exchange with another relay and of sending the refusals.
 constexpr milliseconds kRefusalTime{150};
+// Time in which callers read the last answers and close their connections.
 constexpr milliseconds kMaxCloseTime{200};
 // Time reserved between the end of the drain and the required exit of the
 // process.
@@ -84,6 +85,12 @@
                         control_link_.SendRateRequest(request);
                       }),
         traffic_(metrics_, settings_.availability_zone),
+        departure_recorder_(context_,
+                            clock_,
+                            settings_.id,
+                            [this](const wire::DepartureReport& report) {
+                              control_link_.SendDeparture(report);
+                            }),
         control_link_(context_, clock_, metrics_, traffic_, LinkOptions()),
         request_handler_(
             {clock_, adapter_.headers, fleet_, target_proxy_, peer_client_,
@@ -163,6 +170,9 @@
     options.apply_crash_reply = [this](const wire::CrashReportReply& reply) {
       target_proxy_.crash_monitor().OnReply(reply);
     };
+    options.apply_departure_reply = [this](const wire::DepartureReply& reply) {
+      departure_recorder_.OnReply(reply);
+    };
     options.reload_seeds = [this] { ReloadSettings(); };
     return options;
   }
@@ -254,6 +264,8 @@
                                     "the request is not a relay call\n");
       co_return;
     }
+    if (pass)
+      pass->SetCancellation(call.cancellation);
     WatchForDisconnect(exchange, call);
     const Announcement* announced =
         target_proxy_.tracker().latest_announcement();
@@ -263,8 +275,6 @@
       result.load = target_proxy_.Load();
     } else if (announced != nullptr && announced->service != call.service) {
       result = CallResult::NotRun("the target is of another service");
-    if (pass)
-      pass->SetCancellation(call.cancellation);
     } else {
       result = co_await target_proxy_.Run(call);
     }
@@ -277,6 +287,8 @@
       exchange.Abort();
       co_return;
     }
+    if (stopping_ && result.load)
+      result.load->set_state(wire::TARGET_STATE_LEAVING);
     result.head = EncodeResult(result);
     if (result.outcome != wire::OUTCOME_OK) {
       result.body = {};
@@ -287,8 +299,6 @@
 
   Task<void> HandleTargetCall(stream::ServerExchange& exchange) {
     stream::BodySource body;
-    if (stopping_ && result.load)
-      result.load->set_state(wire::TARGET_STATE_LEAVING);
     const stream::ErrorCode error = co_await exchange.ReadBody(body);
     if (error || !body.whole()) {
       exchange.Abort();
@@ -303,14 +313,35 @@
       co_await exchange.RespondText(MakeResponseHead(404), "no such call\n");
       co_return;
     }
-    if (call->announcement)
+    if (call->announcement) {
       HandleAnnouncement(*call->announcement);
+      const auto departure = DepartureOf(*call->announcement);
+      if (departure && !co_await departure_recorder_.Record(*departure)) {
+        co_await exchange.RespondText(MakeResponseHead(503),
+                                      "the departure is not recorded yet\n");
+        co_return;
+      }
+    }
     http::header<false> answer = MakeResponseHead(200);
     if (!call->content_type.empty())
       answer.set(http::field::content_type, call->content_type);
     co_await exchange.RespondText(std::move(answer), call->response_body);
   }
 
+  /// Returns the process whose departure an acknowledgement of \p announcement
+  /// would promise; nothing for another announcement, or a stale one.
+  std::optional<TargetTracker::Process> DepartureOf(
+      const Announcement& announcement) const {
+    const TargetTracker::Process process{announcement.target_id,
+                                         announcement.started_ms};
+    if (announcement.state == AnnouncedState::kDeregistered)
+      return process;
+    if (announcement.state == AnnouncedState::kDraining &&
+        target_proxy_.tracker().DepartingProcess() == process)
+      return process;
+    return std::nullopt;
+  }
+
   void HandleAnnouncement(const Announcement& announcement) {
     // The target of this relay is the process at the configured address.
     if (announcement.state != AnnouncedState::kDeregistered &&
@@ -355,6 +386,7 @@
       ReportLateTick(clock_.Now() - timer.expiry());
       target_proxy_.Tick();
       rate_limiter_.Tick();
+      departure_recorder_.Tick();
       if (const auto report = target_proxy_.crash_monitor().TakeReport())
         control_link_.SendCrashReport(*report);
     }
@@ -490,6 +522,8 @@
     co_await WaitUntil(std::min(end, notice_end + kTargetCallTime),
                        all_answered);
     gate_.SetLatestDeadline(end);
+    co_await WaitUntil(end - kRefusalTime, all_answered);
+    gate_.EndWaits();
     co_await WaitUntil(end, all_answered);
     for (const auto& [route, count] : gate_.inside())
       metrics_.Count("yuccastair_requests_cut_total", {{"route", route}},
@@ -522,8 +556,6 @@
   wire::TargetProcess restored_departure_;
   bool stopping_ = false;
   const support::SteadyClock clock_{};
-    co_await WaitUntil(end - kRefusalTime, all_answered);
-    gate_.EndWaits();
   const support::BootClock boot_clock_{};
   asio::io_context context_{1};
   observe::Metrics metrics_;
@@ -533,6 +565,7 @@
   RateLimiter rate_limiter_;
   RequestGate gate_;
   TrafficCounts traffic_;
+  DepartureRecorder departure_recorder_;
   ControlLink control_link_;
   RequestHandler request_handler_;
   stream::Server caller_server_;
--- a/lib/relay/target_tracker.h
+++ b/lib/relay/target_tracker.h
@@ -24,6 +24,8 @@
     std::string target_id;
     /// 0 if unknown.
     std::uint64_t started_ms = 0;
+
+    bool operator==(const Process&) const = default;
   };
 
   enum class AnnouncementEffect {
--- a/unittests/platform/departing_target_test.cc
+++ b/unittests/platform/departing_target_test.cc
@@ -24,6 +24,10 @@
 // Drain time of the relays (SoakLayout), and a margin.
 constexpr auto kDrained = 2500ms;
 constexpr auto kObserved = 2000ms;
+// Control processes forget a relay that is silent for 3 s.
+constexpr auto kLongerThanMembershipExpiry = 3500ms;
+// A departure is acknowledged within this time whatever happens.
+constexpr auto kMaxAcknowledgementTime = 4000ms;
 
 /// Callers of relay 0 use the target of relay 1, the only one, which leaves.
 class DepartingTarget : private SystemClient {
@@ -58,10 +62,11 @@
   using SystemClient::RunFor;
 
   /// Kills the relay and waits until it takes calls of its target again.
-  void RestartRelay() {
+  void RestartRelay(std::chrono::milliseconds down_time = 0ms) {
     Process& relay = *relays_[1];
     relay.Signal(SIGKILL);
     relay.Wait();
+    RunFor(down_time);
     relay.Start();
     Await("the relay", [&] {
       return Ask(layout_.Ready(1), http::verb::get, "/yuccastair/ready")
@@ -82,6 +87,18 @@
                    .dump())
         .status;
   }
+  void FreezeControl() {
+    for (const auto& control : controls_)
+      control->Freeze();
+  }
+  void ContinueControl() {
+    for (const auto& control : controls_)
+      control->Signal(SIGCONT);
+  }
+  template <typename Condition>
+  void AwaitThat(const std::string& what, Condition condition) {
+    Await(what, condition);
+  }
   unsigned Deregister() {
     return Ask(layout_.TargetCalls(1), http::verb::post,
                "/yuccastair/Instances.Deregister/i-1",
@@ -132,6 +149,36 @@
     system.RunFor(200ms);
     system.RestartRelay();
   }
+  SECTION("and deregistered just before its relay was killed") {
+    REQUIRE(system.Deregister() == 200);
+    system.RestartRelay();
+  }
+  SECTION("and drained just before its relay was killed") {
+    REQUIRE(system.Beat(late + 1, "draining") == 200);
+    system.RestartRelay();
+  }
+  SECTION("and deregistered before its relay was away for long") {
+    REQUIRE(system.Deregister() == 200);
+    system.RunFor(200ms);
+    system.RestartRelay(kLongerThanMembershipExpiry);
+  }
+  CHECK(system.Beat(late) == 200);
+  system.RunFor(kDrained);
+  const std::size_t before = system.RequestCount();
+  system.RunFor(kObserved);
+  CHECK(system.RequestCount() == before);
+}
+
+// Guards against an acknowledgement of a departure that only the relay knows.
+TEST_CASE("a departure is acknowledged once control processes hold it") {
+  DepartingTarget system(2);
+  const int late = system.sequence() + 1;
+  system.FreezeControl();
+  CHECK(system.Deregister() == 503);
+  system.ContinueControl();
+  system.AwaitThat("an acknowledgement",
+                   [&] { return system.Deregister() == 200; });
+  system.RestartRelay();
   CHECK(system.Beat(late) == 200);
   system.RunFor(kDrained);
   const std::size_t before = system.RequestCount();
@@ -139,5 +186,19 @@
   CHECK(system.RequestCount() == before);
 }
 
+TEST_CASE("a target may leave while no control process is in reach") {
+  DepartingTarget system(3);
+  system.FreezeControl();
+  const support::SteadyClock clock;
+  const support::TimePoint began = clock.Now();
+  system.AwaitThat("an acknowledgement",
+                   [&] { return system.Deregister() == 200; });
+  CHECK(clock.Now() - began <= kMaxAcknowledgementTime);
+  system.RunFor(kDrained);
+  const std::size_t before = system.RequestCount();
+  system.RunFor(kObserved);
+  CHECK(system.RequestCount() == before);
+}
+
 }  // namespace
 }  // namespace yuccastair
