Keep a target cold until evidence from after the event

Cause: any announcement ended the assumption that the target is cold, also one that was sent before the zone returned and arrived late. Ruled out: an assumption that is too short, and load that passes by the relay.

Change: no announcement ends it. It lasts for the cold time of the service, or until the target states its cold time in the answer to a health check that was sent after the event. The same for connections that all fail at once: a late announcement of the process before ended that assumption too.

"a target is cold from a suspected restart to its announcement" took for right that any announcement ends the assumption; in its place the tracker is tested for both reasons, over the whole time, and for checks that began before.

--- a/include/yuccastair/relay/adapter.h
+++ b/include/yuccastair/relay/adapter.h
@@ -26,6 +26,11 @@
   std::string caller_service = "x-yuccastair-caller";
   /// Id of the only target that may run the request.
   std::string expected_target = "x-yuccastair-expected-target";
+  /// Id of the target, in its responses to health checks.
+  std::string target_id = "x-yuccastair-target";
+  /// Time for which the target stays cold in ms, in its responses to health
+  /// checks.
+  std::string cold_time = "x-yuccastair-cold-ms";
   /// Set in the response of a target that did not run the request.
   std::string not_run = "x-yuccastair-not-run";
   /// Signature that a target adds to its responses.
--- a/lib/relay/target_exchange.cc
+++ b/lib/relay/target_exchange.cc
@@ -236,3 +236,4 @@
 }
 
 }  // namespace yuccastair::relay
+  StartColdCheck();
--- a/lib/relay/target_proxy.cc
+++ b/lib/relay/target_proxy.cc
@@ -79,8 +79,7 @@
 
 void TargetProxy::ApplyState() {
   admission_.SetOptions(AdmissionOptions());
-  admission_.SetColdUntil(
-      std::max(tracker_.ColdUntil(), zone_return_cold_until_));
+  admission_.SetColdUntil(tracker_.ColdUntil());
   admission::Admission::Decisions decisions;
   const wire::TargetState state = tracker_.State();
   // A target that is leaving still accepts requests for a while, so that its
@@ -95,9 +94,7 @@
         {{"state", wire::TargetState_Name(state)},
          {"incarnation", tracker_.Incarnation()},
          {"cold_ms",
-          RemainingTime(std::max(tracker_.ColdUntil(), zone_return_cold_until_),
-                        clock_.Now())
-              .count()}});
+          RemainingTime(tracker_.ColdUntil(), clock_.Now()).count()}});
     if (on_state_changed)
       on_state_changed();
   }
@@ -121,7 +118,6 @@
       on_state_changed();
     return;
   }
-  zone_return_cold_until_ = {};
   if (change == TargetTracker::AnnouncementEffect::kRestarted) {
     pool_.Drop(announcement.address);
     if (was_ready)
@@ -133,6 +129,7 @@
 void TargetProxy::SetServicePolicy(const wire::PolicyService* service) {
   cold_per_second_ = service != nullptr ? service->cold_per_second() : 0;
   cold_duration_ = milliseconds(service != nullptr ? service->cold_ms() : 0);
+  health_path_ = service != nullptr ? service->health_path() : "";
   ApplyState();
 }
 
@@ -141,8 +138,11 @@
     return;
   zone_out_ = zone_out;
   admission_.SetZoneOut(zone_out);
-  if (!zone_out)
-    zone_return_cold_until_ = clock_.Now() + cold_duration_;
+  if (!zone_out) {
+    // Nothing has been sent to the target that would have shown it.
+    tracker_.AssumeCold(cold_duration_);
+    StartColdCheck();
+  }
   ApplyState();
 }
 
--- a/lib/relay/target_proxy.h
+++ b/lib/relay/target_proxy.h
@@ -102,6 +102,9 @@
                               admission::ExchangeOutcome& end) const;
   stream::ConnectionPool::KeptState OtherConnectionStates();
   void OnExchangeFailed();
+  void StartColdCheck();
+  stream::Task<void> CheckColdTime();
+  stream::Task<bool> AskColdTime();
   void OnConnectionRefused();
   void OnRunBroken(const RelayCall& call, const std::string& process);
   stream::Task<void> WatchProcess(std::string process,
@@ -136,10 +139,9 @@
   std::string watched_process_;
   double cold_per_second_ = 0;
   std::chrono::milliseconds cold_duration_{0};
+  std::string health_path_;
   bool zone_out_ = false;
-  // Set when the zone returns to service, because the target may have turned
-  // cold in the meantime. Cleared by the target's next announcement.
-  support::TimePoint zone_return_cold_until_;
+  bool checking_cold_time_ = false;
   wire::TargetState reported_state_ = wire::TARGET_STATE_DOWN;
 };
 
--- a/lib/relay/target_tracker.cc
+++ b/lib/relay/target_tracker.cc
@@ -10,8 +10,7 @@
 constexpr std::size_t kMaxPreviousTargetIds = 64;
 constexpr std::size_t kMaxDeregisteredProcesses = 64;
 // Time for which a target that may have restarted is assumed to be cold.
-// Targets announce themselves every 1 to 2 s, so the next announcement arrives
-// earlier.
+// Targets announce themselves every 1 to 2 s, so a new process does so earlier.
 constexpr std::chrono::milliseconds kSuspectedRestartColdTime{4000};
 
 std::string IncarnationOf(const Announcement& announcement) {
@@ -110,7 +109,6 @@
   incarnation_ = IncarnationOf(*latest_announcement_);
   received_at_ = clock_.Now();
   connection_refused_ = false;
-  restart_suspected_ = false;
   return restarted ? AnnouncementEffect::kRestarted
                    : AnnouncementEffect::kUpdated;
 }
@@ -152,9 +150,25 @@
 support::TimePoint TargetTracker::ColdUntil() const {
   if (!latest_announcement_)
     return {};
-  if (restart_suspected_)
-    return clock_.Now() + kSuspectedRestartColdTime;
-  return received_at_ + latest_announcement_->remaining_cold_time;
+  return std::max({cold_assumed_until_, checked_cold_until_,
+                   received_at_ + latest_announcement_->remaining_cold_time});
+}
+
+void TargetTracker::OnSuspectedRestart() {
+  AssumeCold(kSuspectedRestartColdTime);
+}
+
+void TargetTracker::AssumeCold(std::chrono::milliseconds time) {
+  cold_assumed_at_ = clock_.Now();
+  cold_assumed_until_ = std::max(cold_assumed_until_, cold_assumed_at_ + time);
+}
+
+void TargetTracker::OnColdTimeChecked(std::chrono::milliseconds remaining,
+                                      support::TimePoint asked_at) {
+  if (asked_at < cold_assumed_at_)
+    return;
+  cold_assumed_until_ = {};
+  checked_cold_until_ = clock_.Now() + remaining;
 }
 
 }  // namespace yuccastair::relay
--- a/lib/relay/target_tracker.h
+++ b/lib/relay/target_tracker.h
@@ -50,8 +50,18 @@
   /// counts as down until its next announcement.
   void OnConnectionRefused() { connection_refused_ = true; }
   /// All connections failed at once, so the target may have restarted. It is
-  /// assumed to be cold until its next announcement.
-  void OnSuspectedRestart() { restart_suspected_ = true; }
+  /// assumed to be cold for some seconds.
+  void OnSuspectedRestart();
+  /// The target may have turned cold unnoticed. It is assumed to be cold for
+  /// \p time, whatever it announces, since an announcement may have been sent
+  /// before.
+  void AssumeCold(std::chrono::milliseconds time);
+  /// The target has stated its remaining cold time in reply to a check that was
+  /// sent at \p asked_at, which ends an earlier assumption.
+  void OnColdTimeChecked(std::chrono::milliseconds remaining,
+                         support::TimePoint asked_at);
+  /// Whether the target is only assumed to be cold.
+  bool NeedsColdCheck() const { return clock_.Now() < cold_assumed_until_; }
 
   /// State to report to others. A draining target is reported as such at once.
   wire::TargetState State() const;
@@ -91,7 +101,10 @@
   support::TimePoint received_at_;
   support::TimePoint leaving_since_;
   bool connection_refused_ = false;
-  bool restart_suspected_ = false;
+  support::TimePoint cold_assumed_at_;
+  support::TimePoint cold_assumed_until_;
+  // By the last check; in the past if the target was not cold.
+  support::TimePoint checked_cold_until_;
   // Ids of earlier processes, latest last, for targets that report no start
   // time.
   std::deque<std::string> previous_target_ids_;
--- a/unittests/relay/target_proxy_test.cc
+++ b/unittests/relay/target_proxy_test.cc
@@ -8,6 +8,7 @@
 #include <memory>
 #include <vector>
 
+#include "proxy_fixture.h"
 #include "scripted_target.h"
 #include "yuccastair/stream/server.h"
 
@@ -21,62 +22,6 @@
     "HTTP/1.1 200 OK\r\nx-yuccastair-request-id: {id}\r\n"
     "x-yuccastair-seal: s\r\n";
 
-class ProxyFixture {
- protected:
-  void Announce(const ScriptedTarget& target, std::uint32_t slots = 10) {
-    Announcement announcement;
-    announcement.target_id = "t1";
-    announcement.sequence = ++sequence_;
-    announcement.service = "s";
-    announcement.address = target.address();
-    announcement.slots = slots;
-    proxy_.OnAnnouncement(announcement);
-  }
-
-  static void Fill(RelayCall& call, const std::string& id) {
-    call.request_id = id;
-    call.head.method(stream::http::verb::get);
-    call.head.target("/a/x?q");
-    call.head.set("Host", "h.example");
-    call.service = "s";
-    call.organisation = "org";
-    call.caller_service = "from";
-    call.idempotent = true;
-    call.deadline = support::SteadyClock().Now() + 2s;
-    call.queue_deadline = call.deadline;
-  }
-
-  CallResult Run(RelayCall& call) {
-    CallResult result;
-    bool done = false;
-    // A context that ran out of work has stopped.
-    context_.restart();
-    stream::asio::co_spawn(
-        context_,
-        [&]() -> stream::Task<void> {
-          result = co_await proxy_.Run(call);
-          done = true;
-        },
-        stream::asio::detached);
-    while (!done)
-      context_.run_one();
-    return result;
-  }
-
-  CallResult Run(const std::string& id) {
-    RelayCall call;
-    Fill(call, id);
-    return Run(call);
-  }
-
-  stream::asio::io_context context_;
-  support::SteadyClock clock_;
-  HeaderNames names_;
-  observe::Metrics metrics_;
-  TargetProxy proxy_{context_, clock_, names_, 2000ms, metrics_};
-  std::uint64_t sequence_ = 0;
-};
-
 struct Case {
   const char* name;
   std::string answer;
@@ -449,5 +394,53 @@
         wire::TargetState_Name(wire::TARGET_STATE_COLD));
 }
 
+/// A target that states its cold time in its responses to health checks.
+class ColdCheck : public ProxyFixture {
+ protected:
+  ColdCheck() {
+    wire::PolicyService policy;
+    policy.set_cold_ms(3000);
+    policy.set_cold_per_second(33);
+    policy.set_health_path("/health");
+    proxy_.SetServicePolicy(&policy);
+    proxy_.SetZoneOut(true);
+  }
+  std::string StateAfterReturn(const std::string& health) {
+    ScriptedTarget target(context_, health, AfterRequest::kKeep);
+    Announce(target);
+    proxy_.SetZoneOut(false);
+    // An announcement that was sent before the zone returned.
+    Announce(target);
+    context_.run_for(100ms);
+    return wire::TargetState_Name(proxy_.Load().state());
+  }
+};
+
+// Guards against full load on a target that turned cold while its zone was out
+// of service, after an announcement that arrives late.
+TEST_CASE_METHOD(ColdCheck,
+                 "a target of a returned zone is asked if it is cold") {
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n";
+  const std::string id = "x-yuccastair-target: t1\r\n";
+  SECTION("one that is not") {
+    CHECK(StateAfterReturn(head + id + "x-yuccastair-cold-ms: 0\r\n\r\n") ==
+          wire::TargetState_Name(wire::TARGET_STATE_UP));
+  }
+  SECTION("one that is, or does not say so itself") {
+    const std::string health = GENERATE_COPY(
+        head + id + "x-yuccastair-cold-ms: 2000\r\n\r\n",
+        head +
+            "x-yuccastair-target: t2\r\n"
+            "x-yuccastair-cold-ms: 0\r\n\r\n",
+        head + id + "\r\n", head + id + "x-yuccastair-cold-ms: soon\r\n\r\n",
+        "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n" + id +
+            "x-yuccastair-cold-ms: 0\r\n\r\n",
+        std::string("no response"));
+    CAPTURE(health);
+    CHECK(StateAfterReturn(health) ==
+          wire::TargetState_Name(wire::TARGET_STATE_COLD));
+  }
+}
+
 }  // namespace
 }  // namespace yuccastair::relay
--- a/unittests/relay/target_record_test.cc
+++ b/unittests/relay/target_record_test.cc
@@ -169,18 +169,50 @@
   CHECK(tracker_.State() == wire::TARGET_STATE_UP);
 }
 
-// Guards against full load on a target that has restarted between two
-// announcements.
+// Guards against full load on a target that has turned cold after it sent an
+// announcement that arrives late.
 TEST_CASE_METHOD(
     TrackerFixture,
-    "a target is cold from a suspected restart to its announcement") {
+    "a target that may have turned cold is cold whatever it announces") {
   tracker_.Apply(Announced("a", 5, 1));
-  tracker_.OnSuspectedRestart();
+  SECTION("because it may have restarted") {
+    tracker_.OnSuspectedRestart();
+  }
+  SECTION("because its zone was out of service") {
+    tracker_.AssumeCold(4000ms);
+  }
   CHECK(tracker_.State() == wire::TARGET_STATE_COLD);
   tracker_.Apply(Announced("a", 5, 2));
+  CHECK(tracker_.State() == wire::TARGET_STATE_COLD);
+  clock_.Advance(3999ms);
+  CHECK(tracker_.State() == wire::TARGET_STATE_COLD);
+  clock_.Advance(1ms);
   CHECK(tracker_.State() == wire::TARGET_STATE_UP);
 }
 
+TEST_CASE_METHOD(TrackerFixture,
+                 "only a check that began later ends the assumption") {
+  tracker_.Apply(Announced("a", 5, 1));
+  const support::TimePoint before = clock_.Now();
+  clock_.Advance(1ms);
+  tracker_.AssumeCold(4000ms);
+  tracker_.OnColdTimeChecked(0ms, before);
+  CHECK(tracker_.State() == wire::TARGET_STATE_COLD);
+  CHECK(tracker_.NeedsColdCheck());
+  SECTION("a target that is not cold") {
+    tracker_.OnColdTimeChecked(0ms, clock_.Now());
+    CHECK(tracker_.State() == wire::TARGET_STATE_UP);
+  }
+  SECTION("a cold one, for the time that it states") {
+    tracker_.OnColdTimeChecked(300ms, clock_.Now());
+    tracker_.Apply(Announced("a", 5, 2));
+    CHECK(tracker_.State() == wire::TARGET_STATE_COLD);
+    clock_.Advance(300ms);
+    CHECK(tracker_.State() == wire::TARGET_STATE_UP);
+  }
+  CHECK_FALSE(tracker_.NeedsColdCheck());
+}
+
 TEST_CASE_METHOD(
     TrackerFixture,
     "a target is down from a refused connection to its announcement") {
