Decide in one place what is a response and where it ends

A transfer coding that is not decoded was removed, and its bytes were passed on as the body.

Cause: whatever the parser accepts was taken for a response. A reset is reported to one operation only; where the write of the upload got it, the read that followed saw a regular end. A look at the other connections of a target takes the error in the same way. In http::Client a failed read and the end were one branch. Ruled out: a parser that takes any end for that of the body, and an end that arrives before the reset.

Change: stream/response_rules.h, used by stream::MessageReader and http::Client. An invalid response is no sign of a restarted target.

--- a/include/yuccastair/stream/client.h
+++ b/include/yuccastair/stream/client.h
@@ -18,6 +18,8 @@
 
 namespace yuccastair::stream {
 
+enum class SocketState;
+
 /// A connection to a server that carries one request at a time.
 class ClientConnection {
  public:
@@ -30,18 +32,20 @@
     reader_.SetDeadline(deadline);
   }
   Task<ErrorCode> Write(http::header<true> head, BodySource& source) {
-    co_return co_await WriteMessage<true>(stream_, std::move(head), source,
-                                          true);
+    const ErrorCode error =
+        co_await WriteMessage<true>(stream_, std::move(head), source, true);
+    reader_.OnConnectionFailed(error);
+    co_return error;
   }
   MessageReader<false>& reader() { return reader_; }
   /// Ends the operation under way, if any, with an error.
   void Close();
+  /// Tells the server that no more bytes follow. An answer can still be read.
+  void CloseSend();
   /// Whether the connection is open and nothing is there to be read.
   bool IsQuiet();
   /// Whether the server has closed or reset the connection. False while there
   /// are bytes to be read.
-  /// Tells the server that no more bytes follow. An answer can still be read.
-  void CloseSend();
   bool IsGone();
   /// Whether nothing is left over after the message that was read last.
   bool IsClean() const { return buffer_.size() == 0; }
@@ -49,6 +53,8 @@
  private:
   friend class ConnectionPool;
 
+  SocketState Peek();
+
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_;
   MessageReader<false> reader_;
--- a/include/yuccastair/stream/message_reader.h
+++ b/include/yuccastair/stream/message_reader.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 
+#include "yuccastair/stream/response_rules.h"
 #include "yuccastair/stream/types.h"
 #include "yuccastair/support/clock.h"
 
@@ -23,6 +24,10 @@
   MessageReader(beast::tcp_stream& stream, beast::flat_buffer& buffer)
       : stream_(stream), buffer_(buffer) {}
 
+  /// The connection has failed in an operation other than a read. A message
+  /// without a length that its end would complete is incomplete then.
+  void OnConnectionFailed(const ErrorCode& error) { failure_.Record(error); }
+
   /// Reading a body fails with a time-out from then on. The time-out of the
   /// stream only ends an operation that waits, and none does while bytes keep
   /// coming.
@@ -41,6 +46,10 @@
       parser_->skip(headless);
     auto [error, bytes] =
         co_await http::async_read_header(stream_, buffer_, *parser_, kAsTuple);
+    if constexpr (!kIsRequest) {
+      if (!error)
+        co_return FindHeadError(parser_->get().base());
+    }
     co_return error;
   }
 
@@ -63,6 +72,8 @@
     out.resize(before + max - parser_->get().body().size);
     if (error == http::error::need_buffer)
       error = {};
+    if (!error && parser_->is_done() && parser_->need_eof())
+      error = failure_.error_at_end();
     co_return error;
   }
 
@@ -105,6 +116,7 @@
   beast::flat_buffer& buffer_;
   std::optional<http::parser<kIsRequest, http::buffer_body>> parser_;
   support::TimePoint deadline_ = support::TimePoint::max();
+  ConnectionFailure failure_;
 };
 
 }  // namespace yuccastair::stream
--- a/lib/http/client.cc
+++ b/lib/http/client.cc
@@ -25,6 +25,7 @@
 #include <system_error>
 #include <utility>
 
+#include "yuccastair/stream/response_rules.h"
 #include "yuccastair/support/error.h"
 
 namespace yuccastair::http {
@@ -67,13 +68,6 @@
                      });
 }
 
-bool SameLengths(const Parser& parser) {
-  const auto lengths =
-      parser.get().equal_range(boost::beast::http::field::content_length);
-  return std::distance(lengths.first, lengths.second) <= 1 &&
-         !(lengths.first != lengths.second && parser.chunked());
-}
-
 }  // namespace
 
 class Client::Impl {
@@ -207,7 +201,8 @@
     return false;
   }
 
-  bool Write(const std::string& bytes, Exchange& exchange) const {
+  bool Write(const std::string& bytes, Exchange& exchange) {
+    failure_ = {};
     std::size_t sent = 0;
     while (sent < bytes.size()) {
       const ssize_t count =
@@ -220,6 +215,7 @@
       } else {
         // The server may answer before it has read the whole request, as with
         // 413; Read() finds the response or the end.
+        failure_.Record({errno, boost::system::system_category()});
         return true;
       }
     }
@@ -239,12 +235,11 @@
       parser->skip(head);
       if (!ReadOne(*parser, pending, error, exchange))
         return false;
+      error = stream::FindHeadError(parser->get().base());
+      if (error)
+        return Broken(error, exchange);
       // Interim responses such as 100 come before the final one.
     } while (parser->get().result_int() / 100 == 1);
-    if (!SameLengths(*parser)) {
-      exchange.error = "the response has more than one length";
-      return false;
-    }
     Response& response = exchange.response;
     response.status = static_cast<int>(parser->get().result_int());
     for (const auto& field : parser->get())
@@ -281,6 +276,8 @@
       } else if (count < 0 && (errno == EAGAIN || errno == EINTR)) {
         if (!WaitFor(POLLIN))
           return StoppedWaiting(exchange);
+      } else if (count < 0) {
+        return Broken({errno, boost::system::system_category()}, exchange);
       } else {
         return End(parser, exchange);
       }
@@ -289,9 +286,9 @@
 
   /// The server has closed the connection, which ends only a body that has
   /// neither a length nor chunks.
-  static bool End(Parser& parser, Exchange& exchange) {
-    boost::system::error_code error;
-    if (parser.is_header_done())
+  bool End(Parser& parser, Exchange& exchange) const {
+    boost::system::error_code error = failure_.error_at_end();
+    if (!error && parser.is_header_done())
       parser.put_eof(error);
     if (parser.is_header_done() && !error && parser.is_done())
       return true;
@@ -310,6 +307,8 @@
   Clock::time_point deadline_;
   int fd_ = -1;
   bool connect_timed_out_ = false;
+  // Of the request under way.
+  stream::ConnectionFailure failure_;
   std::atomic<bool> cancelled_ = false;
 };
 
--- a/lib/relay/target_exchange.cc
+++ b/lib/relay/target_exchange.cc
@@ -42,6 +42,16 @@
                                        kIdleCloseMargin);
 }
 
+/// Classifies an exchange that has ended with \p error. An invalid response
+/// comes from a process that runs.
+ExchangeOutcome OutcomeOf(const stream::ErrorCode& error) {
+  if (stream::IsInvalidResponse(error))
+    return ExchangeOutcome::kCancelled;
+  return error == stream::beast::error::timeout
+             ? ExchangeOutcome::kTimedOut
+             : ExchangeOutcome::kConnectionFailed;
+}
+
 }  // namespace
 
 http::header<true> TargetProxy::MakeTargetHead(const RelayCall& call) const {
@@ -97,9 +107,7 @@
       end = ExchangeOutcome::kCancelled;
       co_return CallResult::Unknown("the caller has left");
     }
-    end = error == stream::beast::error::timeout
-              ? ExchangeOutcome::kTimedOut
-              : ExchangeOutcome::kConnectionFailed;
+    end = OutcomeOf(error);
     if (end == ExchangeOutcome::kConnectionFailed) {
       OnRunBroken(call, incarnation);
       if (incarnation == tracker_.Incarnation())
@@ -118,10 +126,10 @@
   if (result.outcome != wire::OUTCOME_OK)
     co_return result;
   if (body_error) {
-    if (!call.cancellation.requested())
-      OnRunBroken(call, incarnation);
     end = call.cancellation.requested() ? ExchangeOutcome::kCancelled
-                                        : ExchangeOutcome::kConnectionFailed;
+                                        : OutcomeOf(body_error);
+    if (end == ExchangeOutcome::kConnectionFailed)
+      OnRunBroken(call, incarnation);
     co_return CallResult::Unknown("the answer of the target broke off: " +
                                   body_error.message());
   }
@@ -232,8 +240,8 @@
                     {"broken_in_a_row", consecutive_failures_}});
   consecutive_failures_ = 0;
   tracker_.OnSuspectedRestart();
+  StartColdCheck();
   ApplyState();
 }
 
 }  // namespace yuccastair::relay
-  StartColdCheck();
--- a/lib/stream/client.cc
+++ b/lib/stream/client.cc
@@ -9,12 +9,19 @@
 
 namespace yuccastair::stream {
 
+SocketState ClientConnection::Peek() {
+  ErrorCode error;
+  const SocketState state = stream::StateOf(stream_.socket(), error);
+  reader_.OnConnectionFailed(error);
+  return state;
+}
+
 bool ClientConnection::IsQuiet() {
-  return stream::StateOf(stream_.socket()) == SocketState::kQuiet;
+  return Peek() == SocketState::kQuiet;
 }
 
 bool ClientConnection::IsGone() {
-  return stream::StateOf(stream_.socket()) == SocketState::kGone;
+  return Peek() == SocketState::kGone;
 }
 
 void ClientConnection::CloseSend() {
--- a/lib/stream/socket_state.cc
+++ b/lib/stream/socket_state.cc
@@ -9,13 +9,22 @@
 namespace yuccastair::stream {
 
 SocketState StateOf(asio::ip::tcp::socket& socket) {
+  ErrorCode ignored;  // For callers to which any end is the same.
+  return StateOf(socket, ignored);
+}
+
+SocketState StateOf(asio::ip::tcp::socket& socket, ErrorCode& error) {
   char byte = 0;
   const auto got =
       recv(socket.native_handle(), &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT);
   if (got > 0)
     return SocketState::kReadable;
-  const bool quiet = got < 0 && (errno == EAGAIN || errno == EINTR);
-  return quiet ? SocketState::kQuiet : SocketState::kGone;
+  if (got == 0)
+    return SocketState::kGone;
+  if (errno == EAGAIN || errno == EINTR)
+    return SocketState::kQuiet;
+  error = ErrorCode(errno, boost::system::system_category());
+  return SocketState::kGone;
 }
 
 }  // namespace yuccastair::stream
--- a/lib/stream/socket_state.h
+++ b/lib/stream/socket_state.h
@@ -18,6 +18,10 @@
 
 SocketState StateOf(asio::ip::tcp::socket& socket);
 
+/// The same; sets \p error if the connection has failed. The socket reports the
+/// failure only once, so a later read sees a regular end.
+SocketState StateOf(asio::ip::tcp::socket& socket, ErrorCode& error);
+
 }  // namespace yuccastair::stream
 
 #endif  // YUCCASTAIR_LIB_STREAM_SOCKET_STATE_H_
--- a/unittests/http/client_test.cc
+++ b/unittests/http/client_test.cc
@@ -70,6 +70,56 @@
   CHECK(ExchangeWith(response).result == ExchangeResult::kBroken);
 }
 
+// Guards against a part of a body that passes as the whole of it.
+TEST_CASE("a reset does not end a body") {
+  const bool unread_upload = GENERATE(false, true);
+  CAPTURE(unread_upload);
+  RawServer server([&](RawConnection& connection, int) {
+    connection.ReadUntil("\r\n\r\n");
+    connection.Send("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhello");
+    connection.Reset();
+  });
+  Client client({"127.0.0.1", server.port()});
+  Request request = Get("/a");
+  if (unread_upload) {
+    request.method = "POST";
+    request.body = std::string(std::size_t{24} << 20, 'u');
+  }
+  CHECK(client.Send(request, kHangLimit, false).result ==
+        ExchangeResult::kBroken);
+}
+
+TEST_CASE("a clean end completes a body beside an unread upload") {
+  RawServer server([&](RawConnection& connection, int) {
+    connection.ReadUntil("\r\n\r\n");
+    connection.Send("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhello");
+    connection.CloseSend();
+    connection.ReadToEnd();
+  });
+  Client client({"127.0.0.1", server.port()});
+  Request request = Get("/a");
+  request.method = "POST";
+  request.body = std::string(std::size_t{24} << 20, 'u');
+  const Exchange exchange = client.Send(request, kHangLimit, false);
+  CHECK(exchange.result == ExchangeResult::kComplete);
+  CHECK(exchange.response.body == "hello");
+}
+
+// Guards against bytes that are no response, or are framed in a way that is not
+// understood, and pass as one.
+TEST_CASE("an invalid response head is an error") {
+  const std::string head = GENERATE(
+      "HTTP/1.1 000 Said\r\n", "HTTP/1.1 099 Said\r\n", "HTTP/1.1 600 Said\r\n",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n",
+      "HTTP/1.1 200 OK\r\nX A: 1\r\n", "HTTP/1.1 200 OK\r\nX-A : 1\r\n",
+      "HTTP/1.1 200 OK\r\nX\x01: 1\r\n", "HTTP/1.1 200 OK\r\n: 1\r\n",
+      "HTTP/1.1 103 Early\r\nX A: 1\r\n\r\nHTTP/1.1 200 OK\r\n");
+  CAPTURE(head);
+  CHECK(ExchangeWith(head + "Content-Length: 5\r\n\r\nhello").result ==
+        ExchangeResult::kBroken);
+}
+
 TEST_CASE("response headers that do not fit are an error, never cut") {
   const std::size_t size = GENERATE(3500, 4060, 4096, 5000, 20000);
   const Exchange exchange =
--- a/unittests/http/raw_socket.h
+++ b/unittests/http/raw_socket.h
@@ -64,6 +64,16 @@
     fd_ = -1;
   }
 
+  /// Tells the peer that no more bytes follow.
+  void CloseSend() const { shutdown(fd_, SHUT_WR); }
+
+  /// Closes the connection so that the peer sees a reset.
+  void Reset() {
+    const linger abort{1, 0};
+    setsockopt(fd_, SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
+    Close();
+  }
+
   /// Returns false if the peer has closed the connection.
   bool Send(const std::string& bytes) const {
     std::size_t sent = 0;
