--- a/lib/consensus/frame.cc
+++ b/lib/consensus/frame.cc
@@ -98,6 +98,11 @@
     buffer_offset_ = intact_bytes_;
     buffer_ = files_.Read(path_, intact_bytes_,
                           std::max<std::size_t>(size, kReadBytes));
+    // A short read must not pass as a torn frame, which would be truncated.
+    if (buffer_.size() < end - intact_bytes_)
+      throw support::Error(
+          "read log file", "",
+          path_ + ": the file ended before byte " + std::to_string(end));
   }
   return std::string_view(buffer_).substr(intact_bytes_ - buffer_offset_);
 }
--- a/lib/relay/relay.cc
+++ b/lib/relay/relay.cc
@@ -279,9 +279,9 @@
       result = co_await target_proxy_.Run(call);
     }
     // A relay that closes its sending side still reads whether the call ran.
-    const bool is_of_use = !call.cancellation.requested() ||
-                           result.outcome == wire::OUTCOME_NOT_RUN;
-    if (!is_of_use) {
+    const bool is_awaited = !call.cancellation.requested() ||
+                            result.outcome == wire::OUTCOME_NOT_RUN;
+    if (!is_awaited) {
       if (result.on_body_end)
         result.on_body_end(false);
       exchange.Abort();
--- a/unittests/heap_meter.h
+++ b/unittests/heap_meter.h
@@ -18,20 +18,20 @@
 /// maximum since the last call of Restart().
 class HeapMeter {
  public:
-  static void Restart() { maximum_ = current_.load(); }
-  static std::size_t Maximum() { return maximum_; }
+  static void Restart() { maximum_bytes = current_bytes.load(); }
+  static std::size_t Maximum() { return maximum_bytes; }
 
   static void Add(std::size_t bytes) {
-    const std::size_t now = current_ += bytes;
-    std::size_t known = maximum_;
-    while (known < now && !maximum_.compare_exchange_weak(known, now)) {
+    const std::size_t now = current_bytes += bytes;
+    std::size_t known = maximum_bytes;
+    while (known < now && !maximum_bytes.compare_exchange_weak(known, now)) {
     }
   }
-  static void Subtract(std::size_t bytes) { current_ -= bytes; }
+  static void Subtract(std::size_t bytes) { current_bytes -= bytes; }
 
  private:
-  static inline std::atomic<std::size_t> current_ = 0;
-  static inline std::atomic<std::size_t> maximum_ = 0;
+  static inline std::atomic<std::size_t> current_bytes = 0;
+  static inline std::atomic<std::size_t> maximum_bytes = 0;
 };
 
 }  // namespace yuccastair
