--- a/unittests/relay/invalid_response_test.cc
+++ b/unittests/relay/invalid_response_test.cc
@@ -144,8 +144,14 @@
   bool ends_with_connection;
 };
 
-TEST_CASE_METHOD(InvalidResponses,
-                 "no part of a response passes as a whole one") {
+/// One exchange with a proxy of its own: the proxy watches a target for a while
+/// after a broken exchange, and each target here closes after its exchange.
+class SeparateExchange : public InvalidResponses {
+ public:
+  using InvalidResponses::RunAgainst;
+};
+
+TEST_CASE("no part of a response passes as a whole one") {
   constexpr int kRounds = 400;
   constexpr unsigned kSeed = 5353;
   const std::string body = "some bytes of the target";
@@ -168,9 +174,11 @@
     const bool reset = random() % 2 == 0;
     const bool long_upload = random() % 8 == 0;
     CAPTURE(kSeed, round, at, reset, long_upload, framing.answer);
-    const CallResult result = RunAgainst(
+    SeparateExchange exchange;
+    const CallResult result = exchange.RunAgainst(
         framing.answer.substr(0, at),
         reset ? AfterRequest::kReset : AfterRequest::kClose, long_upload);
+    CAPTURE(result.reason);
     const std::size_t head_end = framing.answer.find("\r\n\r\n") + 4;
     // A connection that is closed with unread bytes is reset.
     const bool clean_end = !reset && !long_upload;
