Test that the last target of a service is used until it has to stop

A service ends with the order that takes its last target out of use, although the target may be used for seconds.

--- a/unittests/platform/soak_layout.h
+++ b/unittests/platform/soak_layout.h
@@ -30,6 +30,7 @@
   static constexpr int kCrashingRequestPorts = 31000;
   static constexpr int kRestartWithoutTargetPorts = 31500;
   static constexpr int kQueuedStopPorts = 32000;
+  static constexpr int kLastTargetPorts = 32300;
 
   /// Seeds that run at the same time have ports of their own.
   SoakLayout(int first_port, std::uint64_t seed)
