--- a/cmake/YuccastairModule.cmake
+++ b/cmake/YuccastairModule.cmake
@@ -24,7 +24,7 @@
   foreach(source ${sources})
     get_filename_component(stem ${source} NAME_WE)
     set(test ${name}_${stem})
-    add_executable(${test} ${source} ${CMAKE_SOURCE_DIR}/unittests/main.cc)
+    add_executable(${test} ${source} $<TARGET_OBJECTS:test_main>)
     target_include_directories(${test} PRIVATE
       ${CMAKE_SOURCE_DIR}/lib/${name} ${CMAKE_SOURCE_DIR}/unittests)
     target_compile_options(${test} PRIVATE -Wall -Wextra)
