Use a target that is to go as a last resort until it has to stop

Callers saw a service end with the order that took its last target away, or fall short with the order before, although the target could be used for seconds: a target that leaves serves for drain_time after its departure is acknowledged, and a zone that is taken out may get requests for some seconds. Both were given up at once, by the router (state or zone), by the target's own relay (zone) and by the control processes' list.

Such a target is now retiring. Routers use it only while the best other choice is full or there is none; the relay beside it takes calls for half of the drain time, or 3 s after the order for its zone was accepted, and then sends nothing more to it, queued calls included. The age of an order is an upper bound, stated with each sync and counted from the last moment at which the control process was known to hold all orders and did not hold this one, so that no process that learns of it late, or restarts, prolongs it.

Control processes record service.last_target when a service is left with one target in service, or with retiring ones only: before the outage, not after.

--- a/include/yuccastair/membership/registry.h
+++ b/include/yuccastair/membership/registry.h
@@ -48,9 +48,13 @@
   /// reply, is older than `expiry`.
   void RemoveExpired();
 
-  /// Sets the availability zones that are out of service. Their members are not
-  /// advertised to nodes.
-  void SetZonesOut(const std::set<std::string>& zones);
+  /// Sets the availability zones that operators have taken out of service. The
+  /// members of \p out are not advertised to nodes; those of \p retiring still
+  /// are.
+  void SetZonesOut(const std::set<std::string>& out,
+                   const std::set<std::string>& retiring = {});
+  /// Returns the zones that are out of service or retiring.
+  std::set<std::string> ZonesTakenOut() const;
 
   /// Adds the changes of \p service since \p known_revision to \p reply.
   void FillReply(const std::string& service,
@@ -70,7 +74,7 @@
   /// every live node has had time to report.
   bool IsComplete() const;
 
-  /// A target that is known but not advertised to nodes.
+  /// A known target that is not in service.
   struct ExcludedTarget {
     std::string node_id;
     std::string availability_zone;
@@ -82,8 +86,12 @@
   bool HasAdvertisedTarget(const std::string& service) const {
     return index_.HasMembers(service);
   }
-  /// Returns the targets of \p service that are not advertised to nodes, sorted
-  /// by node id. Takes time linear in the number of nodes.
+  /// Returns up to \p limit nodes of \p service whose targets are in service:
+  /// up or cold, and in no zone that operators have taken out.
+  std::vector<std::string> FindInService(const std::string& service,
+                                         std::size_t limit) const;
+  /// Returns the targets of \p service that are not in service, sorted by node
+  /// id. Takes time linear in the number of nodes.
   std::vector<ExcludedTarget> FindExcludedTargets(
       const std::string& service) const;
 
@@ -125,6 +133,10 @@
   /// Updates the index entry of a node from its latest report.
   void UpdateIndex(Node& node);
   bool IsAdvertised(const wire::Member& member) const;
+  bool IsInService(const wire::Member& member) const;
+  bool IsZoneTakenOut(const std::string& zone) const {
+    return zones_out_.contains(zone) || zones_retiring_.contains(zone);
+  }
 
   const support::Clock& clock_;
   const std::chrono::milliseconds expiry_;
@@ -136,6 +148,7 @@
       local_node_by_id_;
   std::map<std::string, Peer> peers_;
   std::set<std::string> zones_out_;
+  std::set<std::string> zones_retiring_;
   MemberChangeLog local_changes_;
   ServiceIndex index_;
 };
--- a/include/yuccastair/membership/service_index.h
+++ b/include/yuccastair/membership/service_index.h
@@ -32,8 +32,15 @@
   void Remove(const std::string& service, const std::string& node_id);
 
   bool HasMembers(const std::string& service) const {
+    const auto* members = FindMembers(service);
+    return members != nullptr && !members->empty();
+  }
+
+  /// Returns the members of \p service by node id; null if it never had any.
+  const std::map<std::string, wire::Member>* FindMembers(
+      const std::string& service) const {
     const auto found = services_.find(service);
-    return found != services_.end() && !found->second.members.empty();
+    return found == services_.end() ? nullptr : &found->second.members;
   }
 
   /// Adds the changes since \p known_revision to \p reply: nothing, the
--- a/include/yuccastair/membership/target_availability_monitor.h
+++ b/include/yuccastair/membership/target_availability_monitor.h
@@ -33,6 +33,16 @@
     support::Duration outage_duration{};
   };
 
+  /// A service that is left with a single target in service, or with retiring
+  /// ones only. One more target that goes ends the service.
+  struct Warning {
+    std::string service;
+    /// The target that is left in service; empty if there is none.
+    std::string remaining_target;
+    /// The other known targets and why they are not in service.
+    std::vector<Registry::ExcludedTarget> excluded_targets;
+  };
+
   /// Services are checked only while the view of this process is at most
   /// kMaxViewAge old and has been for kViewSettlingTime, the time in which the
   /// other control processes report their members again. A process that is
@@ -50,15 +60,30 @@
   std::vector<Change> Check(const std::set<std::string>& services,
                             std::chrono::milliseconds view_age);
 
+  /// Returns the services that had more targets in service at the last call and
+  /// are left with the last one, under the same conditions as Check().
+  std::vector<Warning> CheckLastTargets(const std::set<std::string>& services,
+                                        std::chrono::milliseconds view_age);
+
+  /// Returns the number of services that CheckLastTargets() has reported and
+  /// that have not regained a second target.
+  std::size_t services_at_last_target() const { return at_last_target_.size(); }
+
   /// Returns the number of services without a target.
   std::size_t services_without_target() const {
     return outage_started_at_.size();
   }
 
  private:
+  /// Returns whether the view of this process is complete and current.
+  bool IsViewSettled(std::chrono::milliseconds view_age);
+
   const support::Clock& clock_;
   const Registry& registry_;
   std::map<std::string, support::TimePoint> outage_started_at_;
+  // Number of targets in service at the last check, at most kSeveralTargets.
+  std::map<std::string, std::size_t> targets_in_service_;
+  std::set<std::string> at_last_target_;
   // When the view was last found to be stale.
   support::TimePoint view_stale_at_;
 };
--- a/include/yuccastair/routing/options.h
+++ b/include/yuccastair/routing/options.h
@@ -14,6 +14,9 @@
   /// The local zone has capacity while the utilisation of its chosen target is
   /// at most this.
   double local_zone_max_utilisation = 0.8;
+  /// A retiring target is used while the utilisation of the target chosen
+  /// otherwise is above this. Calls queue above 1.
+  double retiring_min_utilisation = 1;
 
   /// Share of a service's targets that may be ejected (`eject.max_share`).
   double max_ejected_share = 0.34;
--- a/include/yuccastair/routing/router.h
+++ b/include/yuccastair/routing/router.h
@@ -63,9 +63,12 @@
 
   void SetOptions(const Options& options) { options_ = options; }
 
-  /// Sets the zones that operators have taken out of service.
-  void SetZonesOut(std::set<std::string> zones) {
-    zones_out_ = std::move(zones);
+  /// Sets the zones that operators have taken out of service: targets in
+  /// \p zones_out get no calls, and those in \p zones_retiring are retiring.
+  void SetZonesOut(std::set<std::string> zones_out,
+                   std::set<std::string> zones_retiring = {}) {
+    zones_out_ = std::move(zones_out);
+    zones_retiring_ = std::move(zones_retiring);
   }
 
   /// Replaces the members. The state of a member is kept as long as the
@@ -113,9 +116,25 @@
     std::uint32_t successful_probes = 0;
   };
 
+  /// Targets that a choice may use, by preference.
+  struct Candidates {
+    std::vector<Target*> local_zone;
+    std::vector<Target*> other_zones;
+    std::vector<Target*> retiring;
+    std::vector<Target*> ejected;
+    std::vector<Target*> at_ramp_limit;
+    /// An ejected target whose probe is due; null if there is none.
+    Target* probe = nullptr;
+  };
+
+  Candidates FindCandidates(bool idempotent,
+                            const std::vector<std::string>& tried);
   wire::TargetState CurrentState(const Target& target) const;
   bool IsZoneOut(const Target& target) const;
   bool Accepts(const Target& target) const;
+  /// Returns whether a target that accepts calls is to get only those that no
+  /// other target has room for.
+  bool IsRetiring(const Target& target) const;
   /// Returns whether a cold target has reached its reported limit.
   bool IsAtRampLimit(const Target& target) const;
   bool IsProbeDue(const Target& target, bool idempotent) const;
@@ -133,6 +152,7 @@
   const std::string local_zone_;
   const Random random_below_;
   std::set<std::string> zones_out_;
+  std::set<std::string> zones_retiring_;
   // By node id.
   std::map<std::string, Target> targets_;
 };
--- a/lib/control/control.cc
+++ b/lib/control/control.cc
@@ -29,6 +29,7 @@
 #include "yuccastair/membership/departure_table.h"
 #include "yuccastair/membership/registry.h"
 #include "yuccastair/membership/target_availability_monitor.h"
+#include "yuccastair/membership/zone_orders.h"
 #include "yuccastair/observe/event_log.h"
 #include "yuccastair/observe/metrics.h"
 #include "yuccastair/policy/policy_table.h"
@@ -115,6 +116,9 @@
     metrics_.RegisterGauge("yuccastair_services_without_target", [this] {
       return static_cast<double>(services_without_target_.load());
     });
+    metrics_.RegisterGauge("yuccastair_services_at_last_target", [this] {
+      return static_cast<double>(services_at_last_target_.load());
+    });
     core_ = std::thread([this] { RunOrExit([this] { Run(); }); });
     operator_server_.emplace(MakeOperatorServerOptions());
     support::LogInfo("control.started",
@@ -235,6 +239,7 @@
     options.add_status = [this](nlohmann::json& status) {
       status["nodes"] = registry_.size();
       status["without_target"] = target_monitor_.services_without_target();
+      status["at_last_target"] = target_monitor_.services_at_last_target();
     };
     return options;
   }
@@ -395,24 +400,24 @@
     peer_addresses_ = std::move(peers);
   }
 
-  /// Applies the zones that operators have taken out of service.
+  /// Applies the zones that operators have taken out of service. Those of the
+  /// settings tree do not retire.
   void UpdateZonesOut() {
-    const std::uint64_t revision = policy_table_.state().zones_revision();
-    if (settings_table_.version() == settings_zones_version_ &&
-        revision == policy_zones_revision_)
-      return;
-    settings_zones_version_ = settings_table_.version();
-    policy_zones_revision_ = revision;
-    const auto& policy_zones = policy_table_.state().zones_out();
-    std::set<std::string> zones(policy_zones.begin(), policy_zones.end());
-    const auto& entries = settings_table_.tree().entries();
-    for (auto it = entries.lower_bound("zone/"); it != entries.end(); ++it) {
-      if (!it->second.has_zone_out())
-        break;
-      zones.insert(it->second.zone_out().name());
+    if (settings_table_.version() != settings_zones_version_) {
+      settings_zones_version_ = settings_table_.version();
+      settings_zones_out_.clear();
+      const auto& entries = settings_table_.tree().entries();
+      for (auto it = entries.lower_bound("zone/"); it != entries.end(); ++it) {
+        if (!it->second.has_zone_out())
+          break;
+        settings_zones_out_.insert(it->second.zone_out().name());
+      }
     }
-    registry_.SetZonesOut(zones);
-    zones_out_ = std::move(zones);
+    policy_request_service_.UpdateZones();
+    const membership::ZoneOrders& orders = policy_request_service_.zones();
+    std::set<std::string> out = orders.ZonesIn(membership::ZoneUse::kOut);
+    out.insert(settings_zones_out_.begin(), settings_zones_out_.end());
+    registry_.SetZonesOut(out, orders.ZonesIn(membership::ZoneUse::kRetiring));
   }
 
   /// Records the services that have lost their last target, with the reason for
@@ -425,10 +430,38 @@
     std::set<std::string> services;
     for (const auto& service : policy_table_.state().policy().services())
       services.insert(service.name());
-    for (const auto& change :
-         target_monitor_.Check(services, settings_sync_.StateAge()))
+    const auto view_age = settings_sync_.StateAge();
+    for (const auto& warning :
+         target_monitor_.CheckLastTargets(services, view_age))
+      RecordLastTarget(warning);
+    for (const auto& change : target_monitor_.Check(services, view_age))
       RecordServiceChange(change);
     services_without_target_ = target_monitor_.services_without_target();
+    services_at_last_target_ = target_monitor_.services_at_last_target();
+  }
+
+  static nlohmann::json ToJson(
+      const std::vector<membership::Registry::ExcludedTarget>& targets) {
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto& target : targets)
+      list.push_back({{"target", target.node_id},
+                      {"zone", target.availability_zone},
+                      {"zone_out", target.zone_out},
+                      {"state", wire::TargetState_Name(target.state)}});
+    return list;
+  }
+
+  void RecordLastTarget(
+      const membership::TargetAvailabilityMonitor::Warning& warning) {
+    metrics_.Count("yuccastair_service_at_last_target_total",
+                   {{"service", warning.service}});
+    event_log_.Record("service.last_target",
+                      "one more target that leaves, or whose zone is taken "
+                      "out, ends the service",
+                      {{"service", warning.service},
+                       {"remaining", warning.remaining_target},
+                       {"zones_out", registry_.ZonesTakenOut()},
+                       {"targets", ToJson(warning.excluded_targets)}});
   }
 
   void RecordServiceChange(
@@ -442,13 +475,6 @@
                             .count()}});
       return;
     }
-    nlohmann::json excluded_targets = nlohmann::json::array();
-    for (const auto& target : change.excluded_targets)
-      excluded_targets.push_back(
-          {{"target", target.node_id},
-           {"zone", target.availability_zone},
-           {"zone_out", target.zone_out},
-           {"state", wire::TargetState_Name(target.state)}});
     metrics_.Count("yuccastair_service_lost_last_target_total",
                    {{"service", change.service}});
     event_log_.Record(
@@ -456,8 +482,8 @@
         "no target of the service is up outside the zones out of service; "
         "every request that needs it is refused",
         {{"service", change.service},
-         {"zones_out", zones_out_},
-         {"targets", std::move(excluded_targets)}});
+         {"zones_out", registry_.ZonesTakenOut()},
+         {"targets", ToJson(change.excluded_targets)}});
   }
 
   const Settings settings_;
@@ -468,6 +494,7 @@
   observe::Metrics metrics_;
   // Read by the threads that serve metrics.
   std::atomic<std::size_t> services_without_target_ = 0;
+  std::atomic<std::size_t> services_at_last_target_ = 0;
   // Owned by the core thread.
   membership::Registry registry_;
   membership::TargetAvailabilityMonitor target_monitor_;
@@ -490,8 +517,7 @@
   std::vector<std::string> peer_addresses_;
   support::TimePoint peers_updated_at_;
   std::uint64_t settings_zones_version_ = 0;
-  std::uint64_t policy_zones_revision_ = 0;
-  std::set<std::string> zones_out_;
+  std::set<std::string> settings_zones_out_;
   support::TimePoint services_checked_at_;
   support::BoundedRing<CoreEvent> events_;
   OperatorApi operator_api_;
--- a/lib/control/policy_request_service.cc
+++ b/lib/control/policy_request_service.cc
@@ -2,6 +2,10 @@
 
 #include "policy_request_service.h"
 
+#include <algorithm>
+#include <limits>
+#include <set>
+#include <string>
 #include <utility>
 
 #include "yuccastair/state/table_dispatcher.h"
@@ -14,6 +18,15 @@
 // later response is useless.
 constexpr std::chrono::milliseconds kForwardTimeout{900};
 
+/// Returns the age that a sync reply states for an order, in ms.
+std::uint32_t ToReportedAge(std::optional<support::Duration> age) {
+  constexpr std::uint32_t kUnknown = std::numeric_limits<std::uint32_t>::max();
+  if (!age)
+    return kUnknown;
+  return static_cast<std::uint32_t>(std::min<std::int64_t>(
+      std::chrono::ceil<std::chrono::milliseconds>(*age).count(), kUnknown));
+}
+
 }  // namespace
 
 PolicyRequestService::PolicyRequestService(consensus::ReplicatedLog& log,
@@ -24,7 +37,9 @@
       table_(table),
       clock_(clock),
       forward_(std::move(forward)),
-      zone_changes_(clock) {}
+      started_at_(clock.Now()),
+      zone_changes_(clock),
+      zones_(clock) {}
 
 void PolicyRequestService::Execute(wire::PolicyRequest request,
                                    const ReplyCallback& done) {
@@ -116,11 +131,24 @@
   }
 }
 
+void PolicyRequestService::UpdateZones() {
+  const auto& zones_out = table_.state().zones_out();
+  const support::TimePoint current_as_of = log_.CurrentAsOf();
+  zone_dates_.Update({zones_out.begin(), zones_out.end()},
+                     current_as_of < started_at_
+                         ? std::nullopt
+                         : std::make_optional(current_as_of));
+  zones_.Set(zone_dates_.out_since());
+}
+
 void PolicyRequestService::FillReply(const wire::SyncRequest& request,
-                                     wire::SyncReply& reply) const {
+                                     wire::SyncReply& reply) {
+  UpdateZones();
   const wire::PolicyState& state = table_.state();
-  for (const std::string& zone : state.zones_out())
+  for (const std::string& zone : state.zones_out()) {
     reply.add_zones_out(zone);
+    reply.add_zones_out_max_age_ms(ToReportedAge(zones_.MaxAge(zone)));
+  }
   reply.set_zones_revision(state.zones_revision());
   if (request.policy_version() >= state.policy().version())
     return;
--- a/lib/control/policy_request_service.h
+++ b/lib/control/policy_request_service.h
@@ -13,6 +13,7 @@
 #include "policy.pb.h"
 #include "sync.pb.h"
 #include "yuccastair/consensus/state_machine.h"
+#include "yuccastair/membership/zone_orders.h"
 #include "yuccastair/policy/policy_table.h"
 #include "yuccastair/support/clock.h"
 
@@ -58,8 +59,11 @@
   void Tick();
 
   /// Adds the zones out of service, and the policy if the node's is older.
-  void FillReply(const wire::SyncRequest& request,
-                 wire::SyncReply& reply) const;
+  void FillReply(const wire::SyncRequest& request, wire::SyncReply& reply);
+
+  /// Reads the zones out of service from the applied log.
+  void UpdateZones();
+  const membership::ZoneOrders& zones() const { return zones_; }
 
  private:
   struct ForwardedRequest {
@@ -71,7 +75,10 @@
   const policy::PolicyTable& table_;
   const support::Clock& clock_;
   const ForwardCallback forward_;
+  const support::TimePoint started_at_;
   ChangeHorizon zone_changes_;
+  membership::ZoneOrderDates zone_dates_;
+  membership::ZoneOrders zones_;
   // Requests forwarded to the leader, by correlation.
   std::map<std::uint64_t, ForwardedRequest> forwarded_requests_;
   std::uint64_t next_correlation_ = 1;
--- a/lib/membership/registry.cc
+++ b/lib/membership/registry.cc
@@ -122,6 +122,28 @@
          zones_out_.count(member.availability_zone()) == 0;
 }
 
+bool Registry::IsInService(const wire::Member& member) const {
+  return !member.service().empty() &&
+         (member.state() == wire::TARGET_STATE_UP ||
+          member.state() == wire::TARGET_STATE_COLD) &&
+         !IsZoneTakenOut(member.availability_zone());
+}
+
+std::vector<std::string> Registry::FindInService(const std::string& service,
+                                                 std::size_t limit) const {
+  std::vector<std::string> node_ids;
+  const auto* members = index_.FindMembers(service);
+  if (members == nullptr)
+    return node_ids;
+  for (const auto& [node_id, member] : *members) {
+    if (node_ids.size() >= limit)
+      break;
+    if (IsInService(member))
+      node_ids.push_back(node_id);
+  }
+  return node_ids;
+}
+
 const wire::Member& Registry::LatestReport(const Node& node) {
   const wire::Member* latest = &node.reports.begin()->second;
   for (const auto& [source, report] : node.reports) {
@@ -136,10 +158,10 @@
   std::vector<ExcludedTarget> excluded;
   for (const auto& [node_id, node] : nodes_) {
     const wire::Member& member = LatestReport(node);
-    if (member.service() != service || IsAdvertised(member))
+    if (member.service() != service || IsInService(member))
       continue;
     excluded.push_back({node_id, member.availability_zone(), member.state(),
-                        zones_out_.count(member.availability_zone()) > 0});
+                        IsZoneTakenOut(member.availability_zone())});
   }
   std::sort(excluded.begin(), excluded.end(),
             [](const ExcludedTarget& a, const ExcludedTarget& b) {
@@ -189,14 +211,22 @@
   }
 }
 
-void Registry::SetZonesOut(const std::set<std::string>& zones) {
-  if (zones == zones_out_)
+void Registry::SetZonesOut(const std::set<std::string>& out,
+                           const std::set<std::string>& retiring) {
+  zones_retiring_ = retiring;
+  if (out == zones_out_)
     return;
-  zones_out_ = zones;
+  zones_out_ = out;
   for (auto& [node_id, node] : nodes_)
     UpdateIndex(node);
 }
 
+std::set<std::string> Registry::ZonesTakenOut() const {
+  std::set<std::string> zones = zones_out_;
+  zones.insert(zones_retiring_.begin(), zones_retiring_.end());
+  return zones;
+}
+
 void Registry::FillReply(const std::string& service,
                          std::uint64_t known_revision,
                          wire::SyncReply& reply) const {
--- a/lib/relay/cold_check.cc
+++ b/lib/relay/cold_check.cc
@@ -44,8 +44,7 @@
 Task<void> TargetProxy::CheckColdTime() {
   stream::asio::steady_timer timer(context_);
   while (tracker_.NeedsColdCheck()) {
-    const bool in_service = !zone_out_ && tracker_.AcceptsRequests();
-    if (in_service && co_await AskColdTime()) {
+    if (AcceptsCalls() && co_await AskColdTime()) {
       ApplyState();
       continue;
     }
--- a/lib/relay/fleet_state.cc
+++ b/lib/relay/fleet_state.cc
@@ -30,9 +30,13 @@
 
 }  // namespace
 
-FleetState::FleetState(const support::Clock& clock, std::string local_zone)
+FleetState::FleetState(const support::Clock& clock,
+                       const support::Clock& boot_clock,
+                       std::string local_zone)
     : clock_(clock),
+      boot_clock_(boot_clock),
       local_zone_(std::move(local_zone)),
+      zones_(boot_clock),
       service_picker_(support::RandomBelow) {}
 
 ServiceRouter& FleetState::RouterFor(const std::string& service) {
@@ -44,7 +48,7 @@
       ServiceRouter{routing::Router(clock_, RouterOptions(), local_zone_,
                                     support::RandomBelow),
                     routing::RetryBudget(kMaxRetryShare, kMaxRetryBurst)});
-  added.first->second.router.SetZonesOut(zones_out_);
+  added.first->second.router.SetZonesOut(zones_out_, zones_retiring_);
   added.first->second.router.SetMembers(view_.GetMembers(service));
   return added.first->second;
 }
@@ -91,13 +95,8 @@
     }
   }
   if (reply.zones_revision() > zones_revision_) {
-    zones_revision_ = reply.zones_revision();
-    zones_out_ = {reply.zones_out().begin(), reply.zones_out().end()};
+    ApplyZones(reply);
     changed = true;
-    support::LogInfo("zones.changed", {{"revision", zones_revision_},
-                                       {"zones_out", zones_out_}});
-    for (auto& [name, service] : service_routers_)
-      service.router.SetZonesOut(zones_out_);
   }
   view_.Apply(reply);
   for (const wire::ServiceMembers& members : reply.services())
@@ -106,7 +105,41 @@
   return changed;
 }
 
-void FleetState::FillRequest(wire::SyncRequest& request) const {
+void FleetState::ApplyZones(const wire::SyncReply& reply) {
+  zones_revision_ = reply.zones_revision();
+  const bool dated =
+      reply.zones_out_max_age_ms_size() == reply.zones_out_size();
+  membership::ZoneOrders::OutSince out_since;
+  for (int i = 0; i < reply.zones_out_size(); ++i) {
+    auto& since = out_since[reply.zones_out(i)];
+    // The reply was made after the request was filled.
+    if (dated)
+      since = request_filled_at_ -
+              std::chrono::milliseconds(reply.zones_out_max_age_ms(i));
+  }
+  zones_.Set(std::move(out_since));
+  support::LogInfo(
+      "zones.changed",
+      {{"revision", zones_revision_},
+       {"zones_out", reply.zones_out()},
+       {"zones_retiring", zones_.ZonesIn(membership::ZoneUse::kRetiring)}});
+  Tick();
+}
+
+void FleetState::Tick() {
+  std::set<std::string> out = zones_.ZonesIn(membership::ZoneUse::kOut);
+  std::set<std::string> retiring =
+      zones_.ZonesIn(membership::ZoneUse::kRetiring);
+  if (out == zones_out_ && retiring == zones_retiring_)
+    return;
+  zones_out_ = std::move(out);
+  zones_retiring_ = std::move(retiring);
+  for (auto& [name, service] : service_routers_)
+    service.router.SetZonesOut(zones_out_, zones_retiring_);
+}
+
+void FleetState::FillRequest(wire::SyncRequest& request) {
+  request_filled_at_ = boot_clock_.Now();
   request.set_policy_version(policy_ ? policy_->version() : 0);
   request.set_route_needs_version(route_needs_version_);
   view_.FillRequest(request);
--- a/lib/relay/fleet_state.h
+++ b/lib/relay/fleet_state.h
@@ -15,6 +15,7 @@
 #include "weighted_round_robin.h"
 #include "yuccastair/admission/call_throttle.h"
 #include "yuccastair/membership/membership_view.h"
+#include "yuccastair/membership/zone_orders.h"
 #include "yuccastair/policy/policy_index.h"
 #include "yuccastair/routing/retry_policy.h"
 #include "yuccastair/routing/router.h"
@@ -30,12 +31,18 @@
 
 class FleetState {
  public:
-  FleetState(const support::Clock& clock, std::string local_zone);
+  /// \p boot_clock dates the orders for zones.
+  FleetState(const support::Clock& clock,
+             const support::Clock& boot_clock,
+             std::string local_zone);
 
-  /// Applies a sync reply. Returns whether the policy or the zones have
-  /// changed.
+  /// Applies the reply to the request that FillRequest() filled last. Returns
+  /// whether the policy or the zones have changed.
   bool Apply(const wire::SyncReply& reply);
-  void FillRequest(wire::SyncRequest& request) const;
+  void FillRequest(wire::SyncRequest& request);
+
+  /// Ends the retirement of zones whose time is over; called every few ms.
+  void Tick();
 
   /// Returns the list of a sync reply; nothing unless it is newer than the list
   /// that was returned last.
@@ -44,8 +51,13 @@
 
   /// Null until a control process has sent the policy.
   std::shared_ptr<const policy::PolicyIndex> policy() const { return policy_; }
-  bool IsZoneOut(const std::string& zone) const {
-    return zones_out_.count(zone) > 0;
+  membership::ZoneUse UseOfZone(const std::string& zone) const {
+    return zones_.UseOf(zone);
+  }
+  /// Returns the time for which \p zone still retires; nothing unless it does.
+  std::optional<support::Duration> RetirementLeft(
+      const std::string& zone) const {
+    return zones_.RetirementLeft(zone);
   }
   /// Returns whether \p service has a target in service. Also true while its
   /// members are unknown.
@@ -58,13 +70,20 @@
 
  private:
   void CreateRouters();
+  void ApplyZones(const wire::SyncReply& reply);
 
   const support::Clock& clock_;
+  const support::Clock& boot_clock_;
   const std::string local_zone_;
   std::shared_ptr<const policy::PolicyIndex> policy_;
   membership::MembershipView view_;
+  membership::ZoneOrders zones_;
+  // What the routers have been told of zones_.
   std::set<std::string> zones_out_;
+  std::set<std::string> zones_retiring_;
   std::uint64_t zones_revision_ = 0;
+  // When FillRequest() was last called, by boot_clock_.
+  support::TimePoint request_filled_at_;
   std::uint64_t route_needs_version_ = 0;
   WeightedRoundRobin service_picker_;
   std::map<std::string, ServiceRouter> service_routers_;
--- a/lib/relay/relay.cc
+++ b/lib/relay/relay.cc
@@ -69,7 +69,7 @@
         reload_settings_(std::move(reload)),
         incarnation_(support::RandomId()),
         started_ms_(static_cast<std::uint64_t>(support::WallClockMs())),
-        fleet_(clock_, settings_.availability_zone),
+        fleet_(clock_, boot_clock_, settings_.availability_zone),
         target_proxy_(context_,
                       clock_,
                       adapter_.headers,
@@ -225,7 +225,7 @@
       target_proxy_.call_throttle().SetKnownNeeds(*std::move(needs));
     if (!changed)
       return;
-    target_proxy_.SetZoneOut(fleet_.IsZoneOut(settings_.availability_zone));
+    ApplyZoneUse();
     const auto policy = fleet_.policy();
     if (!policy)
       return;
@@ -243,6 +243,10 @@
     caller_server_.SetLimits(server);
   }
 
+  void ApplyZoneUse() {
+    target_proxy_.SetZoneUse(fleet_.UseOfZone(settings_.availability_zone));
+  }
+
   /// Handles a call of another relay for the local target.
   Task<void> HandlePeerCall(stream::ServerExchange& exchange) {
     RelayCall call;
@@ -384,6 +388,8 @@
       timer.expires_after(kTickInterval);
       co_await timer.async_wait(stream::kAsTuple);
       ReportLateTick(clock_.Now() - timer.expiry());
+      fleet_.Tick();
+      ApplyZoneUse();
       target_proxy_.Tick();
       rate_limiter_.Tick();
       departure_recorder_.Tick();
@@ -434,15 +440,15 @@
   /// Logs the target's state and the outcomes of requests, so that the lines of
   /// all relays show the state of a service second by second.
   void LogSummary() {
-    const TargetTracker& tracker = target_proxy_.tracker();
     support::LogInfo(
         "relay.summary",
         {{"service", TargetService()},
          {"availability_zone", settings_.availability_zone},
-         {"zone_out", fleet_.IsZoneOut(settings_.availability_zone)},
+         {"zone_out", fleet_.UseOfZone(settings_.availability_zone) !=
+                          membership::ZoneUse::kInService},
          {"target_state",
           wire::TargetState_Name(stopping_ ? wire::TARGET_STATE_LEAVING
-                                           : tracker.State())},
+                                           : target_proxy_.State())},
          {"traffic", traffic_.TakeJson()},
          {"routes", request_handler_.counts().TakeJson()}});
   }
--- a/lib/relay/request_handler.cc
+++ b/lib/relay/request_handler.cc
@@ -296,6 +296,10 @@
   RelayCall& call = request.call;
   CallResult result;
   const support::TimePoint began = deps_.clock.Now();
+  const support::TimePoint queue_deadline = call.queue_deadline;
+  // The relay of the target may not know of the order for its zone.
+  if (const auto left = deps_.fleet.RetirementLeft(choice.availability_zone))
+    call.queue_deadline = std::min(queue_deadline, began + *left);
   if (choice.node_id == node_id_) {
     result = co_await deps_.target.Run(call);
   } else {
@@ -305,6 +309,7 @@
     else
       result = CallResult::NotRun("member without an address");
   }
+  call.queue_deadline = queue_deadline;
   if (choice.node_id != node_id_)
     deps_.traffic.Record("calls", choice.availability_zone,
                          call.body.begin.size() + result.body.begin.size());
--- a/lib/relay/target_exchange.cc
+++ b/lib/relay/target_exchange.cc
@@ -81,7 +81,7 @@
                                  acquired.error.message());
   }
   // The target may have restarted in the meantime.
-  if (call.cancellation.CheckCaller() || !tracker_.AcceptsRequests() ||
+  if (call.cancellation.CheckCaller() || !AcceptsCalls() ||
       incarnation != tracker_.Incarnation()) {
     acquired.connection->Close();
     co_return CallResult::NotRun("the target or the caller has left");
--- a/lib/relay/target_proxy.cc
+++ b/lib/relay/target_proxy.cc
@@ -81,13 +81,11 @@
   admission_.SetOptions(AdmissionOptions());
   admission_.SetColdUntil(tracker_.ColdUntil());
   admission::Admission::Decisions decisions;
-  const wire::TargetState state = tracker_.State();
-  // A target that is leaving still accepts requests for a while, so that its
-  // queue is processed.
   const bool open = tracker_.AcceptsRequests();
-  admission_.SetTarget(open ? wire::TARGET_STATE_UP : state,
+  admission_.SetTarget(open ? wire::TARGET_STATE_UP : tracker_.State(),
                        tracker_.Incarnation(), decisions);
   DeliverDecisions(decisions);
+  const wire::TargetState state = State();
   if (std::exchange(reported_state_, state) != state) {
     support::LogInfo(
         "target.state_changed",
@@ -133,12 +131,20 @@
   ApplyState();
 }
 
-void TargetProxy::SetZoneOut(bool zone_out) {
-  if (zone_out_ == zone_out)
+wire::TargetState TargetProxy::State() const {
+  const wire::TargetState state = tracker_.State();
+  const bool leaving = state == wire::TARGET_STATE_DRAINING ||
+                       state == wire::TARGET_STATE_LEAVING;
+  const bool retiring = leaving || zone_use_ == membership::ZoneUse::kRetiring;
+  return retiring && AcceptsCalls() ? wire::TARGET_STATE_RETIRING : state;
+}
+
+void TargetProxy::SetZoneUse(membership::ZoneUse use) {
+  if (zone_use_ == use)
     return;
-  zone_out_ = zone_out;
-  admission_.SetZoneOut(zone_out);
-  if (!zone_out) {
+  zone_use_ = use;
+  admission_.SetZoneOut(use == membership::ZoneUse::kOut);
+  if (use == membership::ZoneUse::kInService) {
     // Nothing has been sent to the target that would have shown it.
     tracker_.AssumeCold(cold_duration_);
     StartColdCheck();
@@ -155,8 +161,9 @@
 
 wire::LoadReport TargetProxy::Load() const {
   wire::LoadReport load = admission_.Load();
-  if (load.state() == wire::TARGET_STATE_UP)
-    load.set_state(tracker_.State());
+  if (load.state() == wire::TARGET_STATE_UP ||
+      load.state() == wire::TARGET_STATE_COLD)
+    load.set_state(State());
   return load;
 }
 
@@ -292,6 +299,8 @@
                        .depth = call.depth,
                        .is_retry = call.is_retry || call.parent_is_retry});
     running_requests_.Add(running);
+    if (State() == wire::TARGET_STATE_RETIRING)
+      metrics_.Count("yuccastair_retiring_calls_total", {});
     result = co_await ExchangeWithTarget(call, end);
     running_requests_.Remove(running);
     result.downstream_call_failed = running->downstream_call_failed;
--- a/lib/relay/target_proxy.h
+++ b/lib/relay/target_proxy.h
@@ -19,6 +19,7 @@
 #include "target_tracker.h"
 #include "yuccastair/admission/admission.h"
 #include "yuccastair/admission/call_throttle.h"
+#include "yuccastair/membership/zone_orders.h"
 #include "yuccastair/observe/metrics.h"
 #include "yuccastair/relay/adapter.h"
 #include "yuccastair/stream/client.h"
@@ -48,7 +49,7 @@
   /// Sets the policy of the local target's service; null if the policy does not
   /// contain the service.
   void SetServicePolicy(const wire::PolicyService* service);
-  void SetZoneOut(bool zone_out);
+  void SetZoneUse(membership::ZoneUse use);
 
   /// Rejects calls whose queue time has expired; called every few ms.
   void Tick();
@@ -57,6 +58,8 @@
   void CloseIdle() { pool_.CloseIdle(); }
 
   const TargetTracker& tracker() const { return tracker_; }
+  /// State to report to others.
+  wire::TargetState State() const;
   CrashMonitor& crash_monitor() { return crash_monitor_; }
   wire::LoadReport Load() const;
   const RunningRequests& running_requests() const { return running_requests_; }
@@ -90,6 +93,10 @@
   };
 
   admission::Options AdmissionOptions() const;
+  /// Whether calls may still be sent to the target.
+  bool AcceptsCalls() const {
+    return tracker_.AcceptsRequests() && zone_use_ != membership::ZoneUse::kOut;
+  }
   void ApplyState();
   void DeliverDecisions(const admission::Admission::Decisions& decisions);
   stream::Task<admission::Decision> AwaitAdmission(RelayCall& call,
@@ -140,7 +147,7 @@
   double cold_per_second_ = 0;
   std::chrono::milliseconds cold_duration_{0};
   std::string health_path_;
-  bool zone_out_ = false;
+  membership::ZoneUse zone_use_ = membership::ZoneUse::kInService;
   bool checking_cold_time_ = false;
   wire::TargetState reported_state_ = wire::TARGET_STATE_DOWN;
 };
--- a/lib/routing/router.cc
+++ b/lib/routing/router.cc
@@ -70,7 +70,13 @@
   if (IsZoneOut(target))
     return false;
   const wire::TargetState state = CurrentState(target);
-  return state == wire::TARGET_STATE_UP || state == wire::TARGET_STATE_COLD;
+  return state == wire::TARGET_STATE_UP || state == wire::TARGET_STATE_COLD ||
+         state == wire::TARGET_STATE_RETIRING;
+}
+
+bool Router::IsRetiring(const Target& target) const {
+  return CurrentState(target) == wire::TARGET_STATE_RETIRING ||
+         zones_retiring_.contains(target.member.availability_zone());
 }
 
 bool Router::IsAtRampLimit(const Target& target) const {
@@ -147,48 +153,60 @@
                                                           : targets[first];
 }
 
-std::optional<Choice> Router::Choose(bool idempotent,
-                                     const std::vector<std::string>& tried) {
-  std::vector<Target*> local_zone;
-  std::vector<Target*> other_zones;
-  std::vector<Target*> ejected;
-  std::vector<Target*> at_ramp_limit;
+Router::Candidates Router::FindCandidates(
+    bool idempotent,
+    const std::vector<std::string>& tried) {
+  Candidates found;
   for (auto& [node_id, target] : targets_) {
     if (std::find(tried.begin(), tried.end(), node_id) != tried.end() ||
         !Accepts(target))
       continue;
     if (IsAtRampLimit(target)) {
-      at_ramp_limit.push_back(&target);
+      found.at_ramp_limit.push_back(&target);
     } else if (target.ejected_until) {
-      if (IsProbeDue(target, idempotent))
-        return Take(target, true, 1);
-      ejected.push_back(&target);
+      if (found.probe == nullptr && IsProbeDue(target, idempotent))
+        found.probe = &target;
+      found.ejected.push_back(&target);
+    } else if (IsRetiring(target)) {
+      found.retiring.push_back(&target);
     } else if (options_.prefer_local_zone &&
                target.member.availability_zone() == local_zone_) {
-      local_zone.push_back(&target);
+      found.local_zone.push_back(&target);
     } else {
-      other_zones.push_back(&target);
+      found.other_zones.push_back(&target);
     }
   }
-  const std::size_t candidates = local_zone.size() + other_zones.size();
-  Target* chosen = BestOfTwo(local_zone);
-  if (chosen == nullptr ||
-      Score(*chosen) > options_.local_zone_max_utilisation) {
-    Target* other = BestOfTwo(other_zones);
+  return found;
+}
+
+std::optional<Choice> Router::Choose(bool idempotent,
+                                     const std::vector<std::string>& tried) {
+  const Candidates found = FindCandidates(idempotent, tried);
+  if (found.probe != nullptr)
+    return Take(*found.probe, true, 1);
+  Target* chosen = BestOfTwo(found.local_zone);
+  const auto prefer = [&](Target* other) {
     if (other != nullptr &&
         (chosen == nullptr || Score(*other) < Score(*chosen)))
       chosen = other;
-  }
+  };
+  if (chosen == nullptr || Score(*chosen) > options_.local_zone_max_utilisation)
+    prefer(BestOfTwo(found.other_zones));
+  if (chosen == nullptr || Score(*chosen) > options_.retiring_min_utilisation)
+    prefer(BestOfTwo(found.retiring));
   // Uses an ejected target rather than none.
   if (chosen == nullptr)
-    chosen = BestOfTwo(ejected);
+    chosen = BestOfTwo(found.ejected);
   // The node of a cold target enforces the ramp and sheds by importance, which
   // a rejection here would ignore. A retry does not add to its queue.
   if (chosen == nullptr && tried.empty())
-    chosen = BestOfTwo(at_ramp_limit);
+    chosen = BestOfTwo(found.at_ramp_limit);
   if (chosen == nullptr)
     return std::nullopt;
-  return Take(*chosen, false, std::max(candidates, ejected.size()));
+  const std::size_t candidates = found.local_zone.size() +
+                                 found.other_zones.size() +
+                                 found.retiring.size();
+  return Take(*chosen, false, std::max(candidates, found.ejected.size()));
 }
 
 Choice Router::Take(Target& target, bool probe, std::size_t candidates) {
--- a/unittests/control/fake_log.h
+++ b/unittests/control/fake_log.h
@@ -44,10 +44,11 @@
   }
   bool IsCurrentLeader() const override { return is_leader; }
   std::string LeaderAddress() const override { return "127.0.0.1:1"; }
-  support::TimePoint CurrentAsOf() const override { return {}; }
+  support::TimePoint CurrentAsOf() const override { return current_as_of; }
 
   bool is_leader = true;
   bool commit_immediately = true;
+  support::TimePoint current_as_of;
   std::deque<std::pair<std::string, ProposeCallback>> pending;
 
  private:
--- a/unittests/control/policy_service_test.cc
+++ b/unittests/control/policy_service_test.cc
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <cstdint>
+#include <limits>
 #include <optional>
 #include <vector>
 
@@ -114,6 +116,37 @@
                                 }};
 };
 
+// Guards against relays that use a zone for too long, or not at all, because
+// they do not know how old its order is.
+TEST_CASE_METHOD(ZoneOrderFixture, "a sync reply states the age of an order") {
+  const auto reported_age = [this] {
+    wire::SyncReply reply;
+    service_.FillReply({}, reply);
+    REQUIRE(reply.zones_out_size() == 1);
+    REQUIRE(reply.zones_out_max_age_ms_size() == 1);
+    return reply.zones_out_max_age_ms(0);
+  };
+  SECTION("by a process with a current view") {
+    log_.current_as_of = clock_.Now();
+    service_.UpdateZones();
+    OrderElsewhere(true);
+    CHECK(reported_age() == 0);
+    clock_.Advance(700ms);
+    CHECK(reported_age() == 700);
+  }
+  SECTION("by a process that was cut off before the order") {
+    log_.current_as_of = clock_.Now();
+    service_.UpdateZones();
+    clock_.Advance(2000ms);
+    OrderElsewhere(true);
+    CHECK(reported_age() == 2000);
+  }
+  SECTION("by a process that has just started") {
+    OrderElsewhere(true);
+    CHECK(reported_age() == std::numeric_limits<std::uint32_t>::max());
+  }
+}
+
 // Guards against an evacuation that ends because a process that was suspended
 // reads an order from before it.
 TEST_CASE_METHOD(ZoneOrderFixture,
--- a/unittests/membership/service_watch_test.cc
+++ b/unittests/membership/service_watch_test.cc
@@ -69,6 +69,49 @@
   CHECK(fixture.Check().empty());
 }
 
+// Guards against operators who learn only from the outage that a service had
+// one target left.
+TEST_CASE("operators are told of the last target before it goes") {
+  PreviewServiceFixture fixture;
+  const auto check = [&] {
+    return fixture.monitor_.CheckLastTargets({"preview"}, kFreshViewAge);
+  };
+  CHECK(check().empty());
+  fixture.Report("b", wire::TARGET_STATE_LEAVING);
+  CHECK(check().empty());
+  fixture.registry_.SetZonesOut({}, {"a"});
+  auto warnings = check();
+  REQUIRE(warnings.size() == 1);
+  CHECK(warnings[0].service == "preview");
+  CHECK(warnings[0].remaining_target == "node-c");
+  REQUIRE(warnings[0].excluded_targets.size() == 2);
+  CHECK(warnings[0].excluded_targets[0].node_id == "node-a");
+  CHECK(warnings[0].excluded_targets[0].zone_out);
+  CHECK_FALSE(warnings[0].excluded_targets[1].zone_out);
+  CHECK(fixture.monitor_.services_at_last_target() == 1);
+  CHECK(check().empty());
+  SECTION("and again when that retires") {
+    fixture.Report("c", wire::TARGET_STATE_RETIRING);
+    warnings = check();
+    REQUIRE(warnings.size() == 1);
+    CHECK(warnings[0].remaining_target.empty());
+    CHECK(fixture.Check().empty());
+  }
+  SECTION("until there is a second one") {
+    fixture.registry_.SetZonesOut({});
+    CHECK(check().empty());
+    CHECK(fixture.monitor_.services_at_last_target() == 0);
+  }
+}
+
+// Guards against false alarms for services that have one target by design.
+TEST_CASE("a service that never had a second target is not reported") {
+  PreviewServiceFixture fixture;
+  fixture.Report("b", wire::TARGET_STATE_LEAVING);
+  fixture.Report("c", wire::TARGET_STATE_LEAVING);
+  CHECK(fixture.monitor_.CheckLastTargets({"preview"}, kFreshViewAge).empty());
+}
+
 TEST_CASE("a regained target is reported with the duration of the outage") {
   PreviewServiceFixture fixture;
   fixture.registry_.SetZonesOut({"a", "b", "c"});
--- a/unittests/platform/without_target_test.cc
+++ b/unittests/platform/without_target_test.cc
@@ -19,10 +19,13 @@
 namespace http = stream::http;
 
 constexpr int kRelays = 2;
+// Time in which control processes check their services after an order.
+constexpr auto kSettlingTime = 700ms;
 
 class ZonesTakenOut : private SystemClient {
  public:
   using SystemClient::Await;
+  using SystemClient::RunFor;
 
   ZonesTakenOut() : layout_(SoakLayout::kWithoutTargetPorts, 0) {
     for (int i = 0; i < SoakLayout::kControls; ++i)
@@ -92,8 +95,19 @@
 // taken the last target of a service out of use.
 TEST_CASE("the last target of a service goes out with its zone") {
   ZonesTakenOut system;
-  system.Await("the first zone out", [&] {
-    return system.Operate("/yuccastair/Evacuations.Start/z0") == 200;
+  // A control process that has just started does not know all targets yet.
+  system.Await("the warning of a first zone that goes out", [&] {
+    system.Await("the zone back", [&] {
+      return system.Operate("/yuccastair/Evacuations.End/z0") == 200;
+    });
+    system.RunFor(kSettlingTime);
+    system.Await("the first zone out", [&] {
+      return system.Operate("/yuccastair/Evacuations.Start/z0") == 200;
+    });
+    system.RunFor(kSettlingTime);
+    const auto warning = system.EventNamed("service.last_target");
+    return warning.value("remaining", "") == "relay-1" &&
+           warning["zones_out"] == nlohmann::json({"z0"});
   });
   CHECK(system.ZonesOfEvent() != nlohmann::json({"z0"}));
   system.Await("the second zone out", [&] {
--- a/unittests/relay/entry_test.cc
+++ b/unittests/relay/entry_test.cc
@@ -150,7 +150,8 @@
   ScriptedTarget other_;
   // The body of the last response.
   std::string text_;
-  FleetState fleet_{clock_, "a"};
+  std::string retry_after_;
+  FleetState fleet_{clock_, clock_, "a"};
   TargetProxy target_{context_, clock_, names_, 2000ms, metrics_};
   PeerClient peers_{context_, clock_};
   RateLimiter rates_{context_, clock_, clock_,
--- a/unittests/relay/target_proxy_test.cc
+++ b/unittests/relay/target_proxy_test.cc
@@ -403,12 +403,12 @@
     policy.set_cold_per_second(33);
     policy.set_health_path("/health");
     proxy_.SetServicePolicy(&policy);
-    proxy_.SetZoneOut(true);
+    proxy_.SetZoneUse(membership::ZoneUse::kOut);
   }
   std::string StateAfterReturn(const std::string& health) {
     ScriptedTarget target(context_, health, AfterRequest::kKeep);
     Announce(target);
-    proxy_.SetZoneOut(false);
+    proxy_.SetZoneUse(membership::ZoneUse::kInService);
     // An announcement that was sent before the zone returned.
     Announce(target);
     context_.run_for(100ms);
--- a/unittests/routing/router_test.cc
+++ b/unittests/routing/router_test.cc
@@ -146,6 +146,42 @@
   CHECK_FALSE(router_.Choose(true, {"a"}));
 }
 
+// Guards against calls that are rejected while a target that is about to leave
+// has room, and against its use while the others have.
+TEST_CASE_METHOD(RouterFixture, "a retiring target is a last resort") {
+  AddMember("a");
+  SECTION("by its state") {
+    AddMember("b", "z1", wire::TARGET_STATE_RETIRING);
+  }
+  SECTION("by the state in its last reply") {
+    AddMember("b");
+    RecordWithReport("b", MakeReport(0, 10, 0, wire::TARGET_STATE_RETIRING));
+  }
+  SECTION("by its zone") {
+    AddMember("b", "z2");
+    router_.SetZonesOut({}, {"z2"});
+  }
+  RecordWithReport("a", MakeReport(8, 10));
+  CHECK(CountChoices(50)["b"] == 0);
+  RecordWithReport("a", MakeReport(10, 10, 5));
+  CHECK(CountChoices(50)["a"] == 0);
+  CHECK(router_.Choose(true, {"a"}));
+  CHECK_FALSE(router_.HasNoUsableMember());
+  members_.erase(members_.begin());
+  router_.SetMembers(members_);
+  CHECK_FALSE(router_.HasNoUsableMember());
+  router_.SetZonesOut({"z1", "z2"});
+  CHECK(router_.HasNoUsableMember());
+}
+
+TEST_CASE_METHOD(RouterFixture,
+                 "a retiring target comes before an ejected one") {
+  AddMember("a");
+  AddMember("b", "z1", wire::TARGET_STATE_RETIRING);
+  EjectTarget("a");
+  CHECK(CountChoices(50)["b"] == 50);
+}
+
 // Guards against a target that stays excluded after a cancelled drain.
 TEST_CASE_METHOD(RouterFixture, "a stale report of a state is ignored") {
   AddMember("a");
