--- a/lib/ctl/command.h
+++ b/lib/ctl/command.h
@@ -142,6 +142,7 @@
 int RunExplain(const Session& session);
 // timeline.cc
 int RunTimeline(const Session& session);
+int RunAttainable(const Session& session);
 // reference.cc
 int RunReference(const Session& session);
 
--- a/lib/ctl/ctl.cc
+++ b/lib/ctl/ctl.cc
@@ -146,7 +146,7 @@
   std::vector<support::Address> controls;
   // The reference is part of the program, and logs are files.
   if (command->run != RunReference && command->run != RunExplain &&
-      command->run != RunTimeline)
+      command->run != RunTimeline && command->run != RunAttainable)
     controls = ParseControls(arguments.Get("control"));
   ControlClient client(std::move(controls), std::chrono::milliseconds(timeout));
   return command->run(Session(environment, arguments, client));
