Tell callers of a service without targets to come back late

They were told 7 to 25% of the time that they had, as for an overload, came back once, and were refused again unless the service had returned within that. They are told 60 to 80% of the route's objective now: the latest time at which a response still meets it. The new case of relay_entry_test fails without that: the time told is between 0.25 and 0.75 s where 0.6 to 0.8 s are asked for.

--- a/lib/relay/request_handler.h
+++ b/lib/relay/request_handler.h
@@ -123,6 +123,10 @@
                             const Rejection& rejection);
   Rejection RefusalOfStoppingRelay(const Request& request) const;
   std::chrono::milliseconds RandomRetryAfter(const Request& request) const;
+  /// The same for a caller of a service without targets, whose return nobody
+  /// knows.
+  std::chrono::milliseconds RetryAfterMissingService(
+      const Request& request) const;
   Rejection RejectionFor(const Request& request,
                          const CallResult& result) const;
   /// Records the outcome of \p request in the request that made it as a call.
--- a/lib/relay/request_response.cc
+++ b/lib/relay/request_response.cc
@@ -23,6 +23,11 @@
 // below that.
 constexpr int kMaxRetryAfterDivisor = 3;
 constexpr int kRetryAfterDivisor = 4;
+// Callers of a service without targets come back once, so they are told to do
+// so as late as a response still meets the objective: within these percentages
+// of it.
+constexpr int kMinMissingServiceWaitPercent = 60;
+constexpr int kMaxMissingServiceWaitPercent = 80;
 // A stopped relay is not back earlier than this.
 constexpr milliseconds kMinRestartTime{750};
 
@@ -106,15 +111,31 @@
   return shortest + milliseconds(support::RandomBelow(spread));
 }
 
+milliseconds RequestHandler::RetryAfterMissingService(
+    const Request& request) const {
+  const milliseconds left =
+      RemainingTime(request.call.deadline, deps_.clock.Now());
+  const milliseconds objective(request.route->objective_ms());
+  const int percent =
+      kMinMissingServiceWaitPercent +
+      static_cast<int>(support::RandomBelow(kMaxMissingServiceWaitPercent -
+                                            kMinMissingServiceWaitPercent + 1));
+  return std::clamp(objective * percent / 100, kMinRetryAfter,
+                    std::max(kMinRetryAfter, left / kMaxRetryAfterDivisor));
+}
+
 RequestHandler::Rejection RequestHandler::RejectionFor(
     const Request& request,
     const CallResult& result) const {
   const support::TimePoint now = deps_.clock.Now();
   const milliseconds left = RemainingTime(request.call.deadline, now);
-  if (!request.may_have_run)
-    return request.call.cancellation.wait_ended()
-               ? RefusalOfStoppingRelay(request)
-               : Rejection{503, result.reason, RandomRetryAfter(request)};
+  if (!request.may_have_run) {
+    if (request.call.cancellation.wait_ended())
+      return RefusalOfStoppingRelay(request);
+    return {503, result.reason,
+            result.missing_service.empty() ? RandomRetryAfter(request)
+                                           : RetryAfterMissingService(request)};
+  }
   return {left.count() == 0 ? 504U : 502U, result.reason};
 }
 
--- a/unittests/relay/entry_test.cc
+++ b/unittests/relay/entry_test.cc
@@ -115,8 +115,10 @@
           co_await acquired.connection->Write(std::move(head), body);
           auto& reader = acquired.connection->reader();
           const stream::ErrorCode error = co_await reader.ReadHead(16384);
-          if (!error)
+          if (!error) {
             status = reader.head().result_int();
+            retry_after_ = std::string(reader.head().base()["Retry-After"]);
+          }
           text_.clear();
           co_await reader.ReadUpTo(text_, std::size_t{1} << 16);
           done = true;
@@ -148,7 +150,7 @@
   TrafficCounts traffic_{metrics_, "a"};
   ScriptedTarget own_;
   ScriptedTarget other_;
-  // The body of the last response.
+  // The body of the last response, and when it asks the caller to come back.
   std::string text_;
   std::string retry_after_;
   FleetState fleet_{clock_, clock_, "a"};
@@ -207,6 +209,24 @@
   CHECK(text_ == "the service has no target in service\n");
 }
 
+// Guards against callers that use up their retries before a service without
+// targets can have returned.
+TEST_CASE_METHOD(RejectedForAll,
+                 "callers of a service without targets return in time") {
+  wire::SyncReply reply;
+  wire::ServiceMembers& members = *reply.add_services();
+  members.set_service("closed");
+  members.set_revision(1);
+  members.set_full(true);
+  fleet_.Apply(reply);
+  for (int i = 0; i < 20; ++i) {
+    REQUIRE(Ask("/closed/x") == 503);
+    // The objective of the route is 1 s.
+    CHECK(std::stod(retry_after_) >= 0.6);
+    CHECK(std::stod(retry_after_) <= 0.8);
+  }
+}
+
 // Guards against a target's response that is discarded for a retry which is
 // then rejected, so that the caller gets status 502.
 TEST_CASE_METHOD(RejectedRetry, "a rejected retry keeps the first response") {
