Give a departure that is handed back no time to drain

With retiring targets, a relay that has restarted, and has taken a late announcement of its target for current, would have used that target as a last resort for a second after control processes handed its departure back, however long ago that was acknowledged.

A target that its admission takes for cold, and that is not retiring, reports that again.

--- a/lib/relay/relay.cc
+++ b/lib/relay/relay.cc
@@ -213,7 +213,8 @@
     departure.target_id = process.target_id();
     departure.started_ms = process.started_ms();
     departure.state = AnnouncedState::kDeregistered;
-    target_proxy_.OnAnnouncement(departure);
+    // Nobody knows how long ago that was.
+    target_proxy_.OnAnnouncement(departure, settings_.drain_time);
   }
 
   void Apply(const wire::SyncReply& reply) {
--- a/lib/relay/target_proxy.cc
+++ b/lib/relay/target_proxy.cc
@@ -98,12 +98,13 @@
   }
 }
 
-void TargetProxy::OnAnnouncement(const Announcement& announcement) {
+void TargetProxy::OnAnnouncement(const Announcement& announcement,
+                                 support::Duration age) {
   const Announcement* known = tracker_.latest_announcement();
   const bool was_ready =
       known != nullptr && known->state == AnnouncedState::kReady;
   const std::string process = tracker_.Incarnation();
-  const auto change = tracker_.Apply(announcement);
+  const auto change = tracker_.Apply(announcement, age);
   if (change == TargetTracker::AnnouncementEffect::kIgnored) {
     support::LogInfo(
         "target.announcement_ignored",
@@ -161,9 +162,11 @@
 
 wire::LoadReport TargetProxy::Load() const {
   wire::LoadReport load = admission_.Load();
+  const wire::TargetState state = State();
   if (load.state() == wire::TARGET_STATE_UP ||
-      load.state() == wire::TARGET_STATE_COLD)
-    load.set_state(State());
+      (load.state() == wire::TARGET_STATE_COLD &&
+       state == wire::TARGET_STATE_RETIRING))
+    load.set_state(state);
   return load;
 }
 
--- a/lib/relay/target_proxy.h
+++ b/lib/relay/target_proxy.h
@@ -43,8 +43,9 @@
   /// outcome.
   stream::Task<CallResult> Run(RelayCall& call);
 
-  /// Handles an announcement of the local target.
-  void OnAnnouncement(const Announcement& announcement);
+  /// Handles an announcement that the local target has made \p age ago.
+  void OnAnnouncement(const Announcement& announcement,
+                      support::Duration age = {});
 
   /// Sets the policy of the local target's service; null if the policy does not
   /// contain the service.
--- a/lib/relay/target_tracker.cc
+++ b/lib/relay/target_tracker.cc
@@ -58,6 +58,7 @@
 
 TargetTracker::AnnouncementEffect TargetTracker::ApplyDeregistration(
     const Announcement& announcement,
+    support::Duration age,
     bool from_known_process) {
   if (!from_known_process) {
     RememberDeregistration(announcement);
@@ -69,7 +70,7 @@
     incarnation_ = IncarnationOf(*latest_announcement_);
   }
   if (latest_announcement_->state == AnnouncedState::kReady)
-    leaving_since_ = clock_.Now();
+    leaving_since_ = clock_.Now() - age;
   latest_announcement_->state = AnnouncedState::kDeregistered;
   latest_announcement_->sequence =
       std::max(latest_announcement_->sequence, announcement.sequence);
@@ -77,7 +78,8 @@
 }
 
 TargetTracker::AnnouncementEffect TargetTracker::Apply(
-    const Announcement& announcement) {
+    const Announcement& announcement,
+    support::Duration age) {
   if (latest_announcement_ && IsStale(announcement))
     return AnnouncementEffect::kIgnored;
   const bool same =
@@ -86,7 +88,7 @@
       (latest_announcement_->started_ms == announcement.started_ms ||
        announcement.started_ms == 0);
   if (announcement.state == AnnouncedState::kDeregistered)
-    return ApplyDeregistration(announcement, same);
+    return ApplyDeregistration(announcement, age, same);
   // A deregistered process does not return.
   if ((same && latest_announcement_->state == AnnouncedState::kDeregistered) ||
       MatchDeregistration(announcement))
@@ -102,7 +104,7 @@
     leaving_since_ = clock_.Now() - drain_time_;
   } else if (announcement.state == AnnouncedState::kDraining &&
              latest_announcement_->state == AnnouncedState::kReady) {
-    leaving_since_ = clock_.Now();
+    leaving_since_ = clock_.Now() - age;
   }
   const bool restarted = latest_announcement_.has_value() && !same;
   latest_announcement_ = announcement;
--- a/lib/relay/target_tracker.h
+++ b/lib/relay/target_tracker.h
@@ -44,7 +44,9 @@
                 std::chrono::milliseconds drain_time)
       : clock_(clock), drain_time_(drain_time) {}
 
-  AnnouncementEffect Apply(const Announcement& announcement);
+  /// \p age is the time since the target has made \p announcement.
+  AnnouncementEffect Apply(const Announcement& announcement,
+                           support::Duration age = {});
 
   /// A connection was refused: no process listens at the address. The target
   /// counts as down until its next announcement.
@@ -91,6 +93,7 @@
   /// \p from_known_process is whether the process of latest_announcement_ has
   /// sent \p announcement.
   AnnouncementEffect ApplyDeregistration(const Announcement& announcement,
+                                         support::Duration age,
                                          bool from_known_process);
 
   const support::Clock& clock_;
--- a/unittests/relay/target_record_test.cc
+++ b/unittests/relay/target_record_test.cc
@@ -148,6 +148,17 @@
   CHECK_FALSE(tracker_.AcceptsRequests());
 }
 
+// Guards against the same where control processes hand a departure back to a
+// relay that has restarted and has taken a late announcement for current.
+TEST_CASE_METHOD(TrackerFixture,
+                 "a departure of long ago leaves no time to drain") {
+  tracker_.Apply(Announced("a", 5, 1));
+  const auto state =
+      GENERATE(AnnouncedState::kDraining, AnnouncedState::kDeregistered);
+  tracker_.Apply(Announced("a", 5, 2, state), 2000ms);
+  CHECK_FALSE(tracker_.AcceptsRequests());
+}
+
 // Guards against a drain time that starts anew when a relay has restarted.
 TEST_CASE_METHOD(TrackerFixture,
                  "a target that is first known as draining accepts nothing") {
