--- a/unittests/relay/entry_test.cc
+++ b/unittests/relay/entry_test.cc
@@ -96,6 +96,15 @@
     member.set_limit(10);
   }
 
+  static wire::SyncReply ReplyWithoutTarget(const std::string& service) {
+    wire::SyncReply reply;
+    wire::ServiceMembers& members = *reply.add_services();
+    members.set_service(service);
+    members.set_revision(1);
+    members.set_full(true);
+    return reply;
+  }
+
   unsigned Ask(const std::string& path = "/a/x", const std::string& id = "") {
     unsigned status = 0;
     bool done = false;
@@ -193,11 +202,8 @@
                  "the response states that no target is in service") {
   CHECK(Ask("/closed/x") == 503);
   CHECK(text_ == "no target can be reached\n");
-  wire::SyncReply reply;
-  wire::ServiceMembers& members = *reply.add_services();
-  members.set_service("closed");
-  members.set_revision(1);
-  members.set_full(true);
+  wire::SyncReply reply = ReplyWithoutTarget("closed");
+  wire::ServiceMembers& members = *reply.mutable_services(0);
   fleet_.Apply(reply);
   CHECK(Ask("/closed/x") == 503);
   CHECK(text_ == "the service has no target in service\n");
@@ -213,12 +219,7 @@
 // targets can have returned.
 TEST_CASE_METHOD(RejectedForAll,
                  "callers of a service without targets return in time") {
-  wire::SyncReply reply;
-  wire::ServiceMembers& members = *reply.add_services();
-  members.set_service("closed");
-  members.set_revision(1);
-  members.set_full(true);
-  fleet_.Apply(reply);
+  fleet_.Apply(ReplyWithoutTarget("closed"));
   for (int i = 0; i < 20; ++i) {
     REQUIRE(Ask("/closed/x") == 503);
     // The objective of the route is 1 s.
