--- a/unittests/platform/last_target_test.cc
+++ b/unittests/platform/last_target_test.cc
@@ -21,8 +21,7 @@
 constexpr auto kZoneEmpty = 3500ms;
 constexpr auto kObserved = 2000ms;
 
-// Guards against a service that ends with an order although its target may
-// still be used.
+// Guards against an order that ends a service whose target may still be used.
 TEST_CASE("the last target is used until it has to stop") {
   DepartingTarget system(0, SoakLayout::kLastTargetPorts);
   auto time_to_stop = kDrained;
