Tell rejections by targets with free slots from others

A target may reject calls at any load.

The new case of relay_target_proxy_test passes: one slot of ten in use counts as free, one of one does not.

--- a/include/yuccastair/admission/call_throttle.h
+++ b/include/yuccastair/admission/call_throttle.h
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 #include <unordered_map>
 
@@ -117,6 +118,9 @@
   /// [0, 1].
   double AdmittedShare(const std::string& route) const;
 
+  /// Returns the admitted shares of the routes that are not admitted in full.
+  std::map<std::string, double> ThrottledShares() const;
+
  private:
   static constexpr std::size_t kImportanceCount = wire::Importance_ARRAYSIZE;
 
--- a/lib/admission/call_throttle.cc
+++ b/lib/admission/call_throttle.cc
@@ -234,4 +234,13 @@
   return found == routes_.end() ? 1 : found->second.share;
 }
 
+std::map<std::string, double> CallThrottle::ThrottledShares() const {
+  std::map<std::string, double> shares;
+  for (const auto& [name, route] : routes_) {
+    if (route.share < 1)
+      shares[name] = route.share;
+  }
+  return shares;
+}
+
 }  // namespace yuccastair::admission
--- a/lib/relay/relay.cc
+++ b/lib/relay/relay.cc
@@ -450,10 +450,18 @@
          {"target_state",
           wire::TargetState_Name(stopping_ ? wire::TARGET_STATE_LEAVING
                                            : target_proxy_.State())},
+         {"rejected_by_target", RejectionsToJson()},
+         {"throttled", target_proxy_.call_throttle().ThrottledShares()},
          {"traffic", traffic_.TakeJson()},
          {"routes", request_handler_.counts().TakeJson()}});
   }
 
+  nlohmann::json RejectionsToJson() {
+    const TargetProxy::Rejections rejections = target_proxy_.TakeRejections();
+    return {{"with_free_slots", rejections.with_free_slots},
+            {"others", rejections.others}};
+  }
+
   const std::string& TargetService() const {
     const Announcement* announced =
         target_proxy_.tracker().latest_announcement();
--- a/lib/relay/target_exchange.cc
+++ b/lib/relay/target_exchange.cc
@@ -25,6 +25,9 @@
 // shows whether the target has restarted. Single exchanges fail for other
 // reasons.
 constexpr std::uint32_t kMinFailuresOfRestart = 3;
+// A target that runs fewer calls than this share of its limit has free slots.
+// The rest covers calls that have just ended here and not yet at the target.
+constexpr double kFreeSlotsMaxLoad = 0.75;
 
 /// Returns the time for which the connection of a response is kept.
 milliseconds MaxIdleTime(const http::header<false>& head,
@@ -183,12 +186,13 @@
 
 /// Derives the outcome of the request from the head of the response.
 CallResult TargetProxy::ClassifyResponse(stream::ClientConnection& connection,
-                                         ExchangeOutcome& end) const {
+                                         ExchangeOutcome& end) {
   const http::header<false>& head = connection.reader().head().base();
   const unsigned status = head.result_int();
   end = ExchangeOutcome::kComplete;
   if (status == 421 || head.find(names_.not_run) != head.end()) {
     end = status == 503 ? ExchangeOutcome::kShed : ExchangeOutcome::kCancelled;
+    RecordRejection(HasFreeSlots());
     CallResult result = CallResult::NotRun(
         "the target did not run the request: status " + std::to_string(status));
     result.reached_target = true;
@@ -214,6 +218,17 @@
   return result;
 }
 
+bool TargetProxy::HasFreeSlots() const {
+  return admission_.queued() == 0 &&
+         admission_.running() < kFreeSlotsMaxLoad * admission_.limit();
+}
+
+void TargetProxy::RecordRejection(bool had_free_slots) {
+  ++(had_free_slots ? rejections_.with_free_slots : rejections_.others);
+  metrics_.Count("yuccastair_target_rejections_total",
+                 {{"free_slots", had_free_slots ? "yes" : "no"}});
+}
+
 stream::ConnectionPool::KeptState TargetProxy::OtherConnectionStates() {
   auto state = pool_.StateOf(tracker_.latest_announcement()->address);
   for (const auto& connection : open_exchanges_) {
--- a/lib/relay/target_proxy.h
+++ b/lib/relay/target_proxy.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "call.h"
@@ -64,6 +65,15 @@
   CrashMonitor& crash_monitor() { return crash_monitor_; }
   wire::LoadReport Load() const;
   const RunningRequests& running_requests() const { return running_requests_; }
+
+  /// Calls that the target has rejected, stating that it did not run them.
+  struct Rejections {
+    /// It had free slots, so fewer calls would not have helped.
+    std::uint64_t with_free_slots = 0;
+    std::uint64_t others = 0;
+  };
+  /// Returns the rejections since the last call.
+  Rejections TakeRejections() { return std::exchange(rejections_, {}); }
   std::size_t pending_calls() const {
     return pending_admissions_.size() + admission_.running();
   }
@@ -107,7 +117,9 @@
   stream::Task<CallResult> ExchangeWithTarget(RelayCall& call,
                                               admission::ExchangeOutcome& end);
   CallResult ClassifyResponse(stream::ClientConnection& connection,
-                              admission::ExchangeOutcome& end) const;
+                              admission::ExchangeOutcome& end);
+  bool HasFreeSlots() const;
+  void RecordRejection(bool had_free_slots);
   stream::ConnectionPool::KeptState OtherConnectionStates();
   void OnExchangeFailed();
   void StartColdCheck();
@@ -139,6 +151,7 @@
   std::uint64_t next_id_ = 1;
   RunningRequests running_requests_;
   TargetRetryBudget retry_budget_;
+  Rejections rejections_;
   // Routes that are throttled, and since when.
   std::unordered_map<std::string, support::TimePoint> throttled_since_;
   std::uint32_t consecutive_failures_ = 0;
--- a/unittests/relay/target_proxy_test.cc
+++ b/unittests/relay/target_proxy_test.cc
@@ -105,6 +105,28 @@
   }
 }
 
+// Guards against a target that rejects calls at any load and passes for a full
+// one.
+TEST_CASE_METHOD(
+    ProxyFixture,
+    "a rejection by a target with free slots is told from others") {
+  ScriptedTarget target(
+      context_,
+      "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nx-yuccastair-not-run: "
+      "1\r\n\r\n",
+      AfterRequest::kKeep);
+  Announce(target);
+  Run("id1");
+  const TargetProxy::Rejections of_idle = proxy_.TakeRejections();
+  CHECK(of_idle.with_free_slots == 1);
+  CHECK(of_idle.others == 0);
+  Announce(target, 1);
+  Run("id2");
+  const TargetProxy::Rejections of_full = proxy_.TakeRejections();
+  CHECK(of_full.with_free_slots == 0);
+  CHECK(of_full.others == 1);
+}
+
 // Guards against trust headers that callers can set: the target relies on them.
 TEST_CASE_METHOD(ProxyFixture,
                  "the target receives the caller's identity and deadline") {
