Throttle only where fewer requests help

Callers of a service whose targets reject calls at any load, with free slots, were refused nearly all their requests, and for two seconds longer than the fault lasted: the throttle of the calling service took each rejection for a shortage. Its share acts on nothing that it measures there, so it ran to its least value and stayed.

A relay now tells a rejection by a target with free slots from others, as an outcome that travels back along the chain like a lack of capacity. It does not hold back requests that may be repeated. Unrepeatable ones still follow it: one that is refused before its start can be repeated, one that fails after it cannot. Their share returns at once when the calls of any request to that service are served again. Whatever the cause, ReductionCheck compares the requests that succeed before and after reductions and suspends them while far fewer succeed; it is checked again later.

Ruled out: not lowering any share on such rejections.

--- a/include/yuccastair/admission/call_throttle.h
+++ b/include/yuccastair/admission/call_throttle.h
@@ -12,33 +12,47 @@
 #include <unordered_map>
 
 #include "call.pb.h"
+#include "yuccastair/admission/reduction_check.h"
 #include "yuccastair/support/clock.h"
 
 namespace yuccastair::admission {
 
 /// The combined outcome of the calls that an admitted request has made, from
-/// best to worst: of several calls the greatest value counts. Relays exchange
-/// the numeric values.
+/// best to worst: of several calls the greatest value counts.
 enum class DownstreamOutcome : std::uint8_t {
   kServed,
   /// All were served, at least one by a target with calls still queued.
   kServedAtCapacity,
+  /// One was rejected by targets that had free slots, so that fewer requests
+  /// would not have helped.
+  kRejectedWithFreeSlots,
   /// One was rejected or missed its deadline, for any reason.
   kRejected,
   /// One was rejected because its service has no capacity.
   kNoCapacity,
 };
 
+/// What a request that is started and fails costs its caller, compared with one
+/// that is rejected.
+enum class RequestKind : std::uint8_t {
+  /// Its caller may repeat it.
+  kRepeatable,
+  /// Its caller may repeat it only if it was rejected before it started.
+  kUnrepeatable,
+};
+
 /// Reacts to overload of a downstream service that the local target calls. A
 /// request that is admitted here and loses a call there uses slots and calls
 /// without a result, so it is rejected before it starts.
 ///
 /// Admits a share of the new requests of each route, the most important ones
 /// first. The share follows the fraction of the admitted requests whose calls
-/// were all served. A route whose requests all need a service without a target
-/// waits for that service instead: its return is known without a trial request.
-/// It waits from the first request on if the need of the route is known. Not
-/// thread-safe.
+/// were all served. Rejections that fewer requests cannot end do not reduce the
+/// share of repeatable requests: those that succeed would be lost. The share of
+/// unrepeatable requests follows every rejection. A route whose requests all
+/// need a service without a target waits for that service instead: its return
+/// is known without a trial request. It waits from the first request on if the
+/// need of the route is known. Not thread-safe.
 class CallThrottle {
  public:
   /// Admitted requests for each request whose calls are served, where calls are
@@ -78,6 +92,10 @@
   /// 1 because the first targets may be few or cold.
   static constexpr double kMinShareOnReturn = 0.5;
 
+  /// Consecutive calls to a service that are served, by whichever request they
+  /// are made, until its rejections with free slots are over.
+  static constexpr std::uint32_t kServedCallsOfRecovery = 24;
+
   explicit CallThrottle(const support::Clock& clock) : clock_(clock) {}
 
   /// Returns whether a service has a target in service according to local
@@ -103,12 +121,19 @@
   /// Returns whether a new request may enter the queue of the target.
   bool Admit(const std::string& route, wire::Importance importance);
 
+  /// Records the outcome of a call to \p service that a request of \p route has
+  /// made, which need not be a request of a caller.
+  void OnCallEnd(const std::string& route,
+                 const std::string& service,
+                 DownstreamOutcome outcome);
+
   /// Records the outcome of an admitted request that the target has answered.
   /// \p missing_service is the service without targets to which the request
   /// lost a call; empty if none.
   void OnRequestEnd(const std::string& route,
                     DownstreamOutcome outcome,
-                    const std::string& missing_service = "");
+                    const std::string& missing_service = "",
+                    RequestKind kind = RequestKind::kRepeatable);
 
   /// Returns the service without targets that \p route waits for; empty if
   /// none.
@@ -118,6 +143,14 @@
   /// [0, 1].
   double AdmittedShare(const std::string& route) const;
 
+  /// Returns the most frequent cause of the rejections that have last reduced
+  /// the share of \p route; kServed if none has.
+  DownstreamOutcome ReductionCause(const std::string& route) const;
+
+  /// Returns whether reductions of \p route are suspended because they have not
+  /// helped.
+  bool IsSuspended(const std::string& route) const;
+
   /// Returns the admitted shares of the routes that are not admitted in full.
   std::map<std::string, double> ThrottledShares() const;
 
@@ -127,6 +160,8 @@
   struct RouteState {
     // Admitted share, in [min_share, 1].
     double share = 1;
+    // The share that admits one request per second.
+    double share_of_one = 0;
     // The share that admits kMinRequestsPerSecond; at least kMinShare.
     double min_share = kMinShare;
     // Consecutive adjustments after intervals in which the calls found
@@ -135,6 +170,13 @@
     std::uint32_t clear_intervals = 0;
     std::uint32_t rejecting_intervals = 0;
     support::TimePoint adjusted_at;
+    RequestKind kind = RequestKind::kRepeatable;
+    ReductionCheck reduction_check;
+    // The most frequent cause of the rejections that last reduced the share. If
+    // the targets had free slots, the requests held back find room.
+    DownstreamOutcome cause = DownstreamOutcome::kServed;
+    // The service whose targets have last rejected a call so; empty if none.
+    std::string rejecting_service;
     // Empty unless the route waits for a service.
     std::string missing_service;
     // Whether requests that end tell nothing about the wait, because it began
@@ -145,8 +187,10 @@
     // Counts since the last adjustment.
     std::uint32_t ended = 0;
     std::uint32_t served_at_capacity = 0;
+    // All rejections, and two causes of them.
     std::uint32_t rejected = 0;
     std::uint32_t without_capacity = 0;
+    std::uint32_t with_free_slots = 0;
     std::array<std::uint32_t, kImportanceCount> arrived{};
     // Admitted fraction of each importance, and the credit accumulated by its
     // arrivals. An arrival is admitted when the credit reaches 1.
@@ -168,16 +212,27 @@
                         RouteState& route,
                         DownstreamOutcome outcome,
                         const std::string& missing_service);
+  bool IsRecovered(const RouteState& route) const;
   bool IsAdjustmentDue(const RouteState& route) const;
   void AdjustShare(RouteState& route) const;
   void ResetInterval(RouteState& route) const;
+  /// Returns the requests since the last adjustment that tell whether the share
+  /// is right.
+  static ReductionCheck::Interval RelevantRequests(const RouteState& route);
   static double Headroom(const RouteState& route);
+  static double GrowthFactor(RouteState& route, bool at_capacity);
   /// Returns the factor by which the share is multiplied.
   static double ShareFactor(RouteState& route);
+  static DownstreamOutcome CauseOfRejections(const RouteState& route);
+  /// Returns the share after rejections that may be unrelated to load.
+  double CheckedShare(RouteState& route, double share) const;
   static void DistributeShare(RouteState& route);
 
   const support::Clock& clock_;
   std::unordered_map<std::string, RouteState> routes_;
+  // Consecutive calls that were served, for services that have rejected calls
+  // with free slots; up to kServedCallsOfRecovery.
+  std::unordered_map<std::string, std::uint32_t> served_calls_;
   RouteNeeds known_needs_;
   RouteNeeds learnt_needs_;
 };
--- a/lib/admission/call_throttle.cc
+++ b/lib/admission/call_throttle.cc
@@ -28,8 +28,7 @@
 constexpr std::uint32_t kRejectingIntervalsOfOutage = 3;
 
 bool IsRejection(DownstreamOutcome outcome) {
-  return outcome == DownstreamOutcome::kRejected ||
-         outcome == DownstreamOutcome::kNoCapacity;
+  return outcome >= DownstreamOutcome::kRejectedWithFreeSlots;
 }
 
 }  // namespace
@@ -65,6 +64,12 @@
   RouteState& route = found->second;
   if (!route.missing_service.empty() && !AdmitWhileWaiting(route))
     return false;
+  if (route.share < 1 && IsRecovered(route)) {
+    route.share = 1;
+    route.rejecting_intervals = 0;
+    route.admitted.fill(route.share);
+    ResetInterval(route);
+  }
   const auto rank = static_cast<std::size_t>(importance);
   ++route.arrived[rank];
   if (route.share >= 1)
@@ -76,6 +81,31 @@
   return true;
 }
 
+void CallThrottle::OnCallEnd(const std::string& route,
+                             const std::string& service,
+                             DownstreamOutcome outcome) {
+  if (IsRejection(outcome)) {
+    if (outcome == DownstreamOutcome::kRejectedWithFreeSlots &&
+        routes_.contains(route))
+      routes_[route].rejecting_service = service;
+    served_calls_[service] = 0;
+    return;
+  }
+  const auto found = served_calls_.find(service);
+  if (outcome == DownstreamOutcome::kServed && found != served_calls_.end())
+    found->second = std::min(found->second + 1, kServedCallsOfRecovery);
+}
+
+/// Returns whether the share was reduced by rejections with free slots that are
+/// over.
+bool CallThrottle::IsRecovered(const RouteState& route) const {
+  if (route.cause != DownstreamOutcome::kRejectedWithFreeSlots)
+    return false;
+  const auto found = served_calls_.find(route.rejecting_service);
+  return found != served_calls_.end() &&
+         found->second >= kServedCallsOfRecovery;
+}
+
 /// Returns whether to admit a request of a waiting route. Ends the wait if the
 /// service has a target again.
 bool CallThrottle::AdmitWhileWaiting(RouteState& route) const {
@@ -135,7 +165,8 @@
 
 void CallThrottle::OnRequestEnd(const std::string& name,
                                 DownstreamOutcome outcome,
-                                const std::string& missing_service) {
+                                const std::string& missing_service,
+                                RequestKind kind) {
   if (!routes_.contains(name)) {
     // A route is tracked from its first rejected call on.
     if (!IsRejection(outcome) || routes_.size() >= kMaxTrackedRoutes)
@@ -144,11 +175,14 @@
   }
   RouteState& route = routes_[name];
   OnMissingService(name, route, outcome, missing_service);
+  route.kind = kind;
   ++route.ended;
   route.served_at_capacity +=
       outcome == DownstreamOutcome::kServedAtCapacity ? 1 : 0;
   route.rejected += IsRejection(outcome) ? 1 : 0;
   route.without_capacity += outcome == DownstreamOutcome::kNoCapacity ? 1 : 0;
+  route.with_free_slots +=
+      outcome == DownstreamOutcome::kRejectedWithFreeSlots ? 1 : 0;
   if (IsAdjustmentDue(route))
     AdjustShare(route);
 }
@@ -159,47 +193,90 @@
          (passed >= kMinAdjustmentInterval && route.ended >= kMinEndedRequests);
 }
 
+ReductionCheck::Interval CallThrottle::RelevantRequests(
+    const RouteState& route) {
+  // An unrepeatable request that fails costs more than one that is held back in
+  // vain, so its share answers to rejections of any cause.
+  const std::uint32_t irrelevant =
+      route.kind == RequestKind::kRepeatable ? route.with_free_slots : 0;
+  return {.share = route.share,
+          .ended = route.ended - irrelevant,
+          .served = route.ended - route.rejected};
+}
+
+DownstreamOutcome CallThrottle::CauseOfRejections(const RouteState& route) {
+  if (2 * route.with_free_slots > route.rejected)
+    return DownstreamOutcome::kRejectedWithFreeSlots;
+  return 2 * route.without_capacity > route.rejected
+             ? DownstreamOutcome::kNoCapacity
+             : DownstreamOutcome::kRejected;
+}
+
 double CallThrottle::Headroom(const RouteState& route) {
-  if (2 * route.without_capacity <= route.rejected)
+  if (route.cause != DownstreamOutcome::kNoCapacity)
     return kHeadroom;
   return kNoCapacityHeadroom +
          kNoCapacityHeadroomGrowth * route.share * route.share;
 }
 
-double CallThrottle::ShareFactor(RouteState& route) {
-  if (route.rejected == 0) {
-    route.rejecting_intervals = 0;
-    if (2 * route.served_at_capacity > route.ended) {
-      route.clear_intervals = 0;
-      return kGrowthAtCapacity;
-    }
-    route.clear_intervals =
-        std::min(route.clear_intervals + 1, kMaxClearIntervals);
-    const std::uint32_t power =
-        route.share < kOutageShare
-            ? route.clear_intervals + 1
-            : std::max(route.clear_intervals, kMinGrowthPower + 1) - 1;
-    return std::pow(kHeadroom, power);
+double CallThrottle::GrowthFactor(RouteState& route, bool at_capacity) {
+  route.rejecting_intervals = 0;
+  if (at_capacity) {
+    route.clear_intervals = 0;
+    return kGrowthAtCapacity;
   }
+  route.clear_intervals =
+      std::min(route.clear_intervals + 1, kMaxClearIntervals);
+  if (route.clear_intervals > 1)
+    route.reduction_check.OnClear();
+  if (route.cause == DownstreamOutcome::kRejectedWithFreeSlots)
+    return std::pow(kHeadroom, kMaxClearIntervals);
+  const std::uint32_t power =
+      route.share < kOutageShare
+          ? route.clear_intervals + 1
+          : std::max(route.clear_intervals, kMinGrowthPower + 1) - 1;
+  return std::pow(kHeadroom, power);
+}
+
+double CallThrottle::ShareFactor(RouteState& route) {
+  const ReductionCheck::Interval requests = RelevantRequests(route);
+  if (requests.served == requests.ended)
+    return GrowthFactor(route, 2 * route.served_at_capacity > route.ended);
   route.clear_intervals = 0;
   route.rejecting_intervals =
       std::min(route.rejecting_intervals + 1, kRejectingIntervalsOfOutage);
-  const double served = 1 - static_cast<double>(route.rejected) / route.ended;
+  route.cause = CauseOfRejections(route);
+  const double served = static_cast<double>(requests.served) / requests.ended;
   const double factor = Headroom(route) * served;
   return route.rejecting_intervals < kRejectingIntervalsOfOutage
              ? std::max(factor, kMinShareFactor)
              : factor;
 }
 
+double CallThrottle::CheckedShare(RouteState& route, double share) const {
+  ReductionCheck& check = route.reduction_check;
+  if (check.Record(RelevantRequests(route), clock_.Now()))
+    return check.restored_share();
+  if (check.IsSuspended(clock_.Now()))
+    return std::max(share, route.share * kHeadroom);
+  return std::max(share, check.MinShare(route.share_of_one));
+}
+
 void CallThrottle::AdjustShare(RouteState& route) const {
   const std::chrono::duration<double> passed = clock_.Now() - route.adjusted_at;
   const double arrived =
       std::accumulate(route.arrived.begin(), route.arrived.end(), 0.0);
-  if (arrived > 0)
-    route.min_share = std::clamp(
-        kMinRequestsPerSecond * passed.count() / arrived, kMinShare, 1.0);
-  route.share =
-      std::clamp(route.share * ShareFactor(route), route.min_share, 1.0);
+  if (arrived > 0) {
+    route.share_of_one = passed.count() / arrived;
+    route.min_share =
+        std::clamp(kMinRequestsPerSecond * route.share_of_one, kMinShare, 1.0);
+  }
+  double share = route.share * ShareFactor(route);
+  const bool unexplained = route.rejected > route.with_free_slots &&
+                           2 * route.without_capacity <= route.rejected;
+  if (route.kind == RequestKind::kRepeatable && unexplained)
+    share = CheckedShare(route, share);
+  route.share = std::clamp(share, route.min_share, 1.0);
   DistributeShare(route);
   ResetInterval(route);
 }
@@ -210,6 +287,7 @@
   route.served_at_capacity = 0;
   route.rejected = 0;
   route.without_capacity = 0;
+  route.with_free_slots = 0;
   route.arrived.fill(0);
 }
 
@@ -234,6 +312,18 @@
   return found == routes_.end() ? 1 : found->second.share;
 }
 
+DownstreamOutcome CallThrottle::ReductionCause(const std::string& name) const {
+  const auto found = routes_.find(name);
+  return found == routes_.end() ? DownstreamOutcome::kServed
+                                : found->second.cause;
+}
+
+bool CallThrottle::IsSuspended(const std::string& name) const {
+  const auto found = routes_.find(name);
+  return found != routes_.end() &&
+         found->second.reduction_check.IsSuspended(clock_.Now());
+}
+
 std::map<std::string, double> CallThrottle::ThrottledShares() const {
   std::map<std::string, double> shares;
   for (const auto& [name, route] : routes_) {
--- a/lib/ctl/explain.cc
+++ b/lib/ctl/explain.cc
@@ -22,10 +22,11 @@
 // are renewed every second, and a target that left is forgotten within 3 s.
 constexpr std::chrono::seconds kContext{5};
 
-constexpr std::array<std::string_view, 10> kContextEvents = {
-    "target.state_changed", "control.lost",      "control.found",
-    "policy.in_force",      "zones.changed",     "relay.started",
-    "relay.draining",       "settings.reloaded", "server.accept_failed",
+constexpr std::array<std::string_view, 13> kContextEvents = {
+    "throttle.reduced",     "throttle.suspended", "throttle.whole",
+    "target.state_changed", "control.lost",       "control.found",
+    "policy.in_force",      "zones.changed",      "relay.started",
+    "relay.draining",       "settings.reloaded",  "server.accept_failed",
     "peer.call_malformed"};
 
 struct Cause {
@@ -34,7 +35,7 @@
 };
 
 // By the beginning of the reason in request.ended.
-constexpr std::array<Cause, 21> kCauses = {{
+constexpr std::array<Cause, 23> kCauses = {{
     {"no slot became free",
      "overload: the slots of the target were taken until the time to wait was "
      "over"},
@@ -42,8 +43,14 @@
      "overload: more requests wait for the target than may wait"},
     {"displaced from the queue",
      "overload: a more important request took the place in the queue"},
+    {"calls of such requests are turned away for lack of capacity",
+     "overload further down: a service that the target calls has no free "
+     "slots"},
+    {"calls of such requests are turned away by targets with free slots",
+     "targets further down reject calls at any load; the request may not be "
+     "repeated once it has started"},
     {"calls of such requests are turned away",
-     "overload further down: a service that the target calls turns calls away"},
+     "a service that the target calls turns calls away"},
     {"too many requests are repeated",
      "a target failed or refused, and the budget for repeats was used up"},
     {"the target did not run the request",
--- a/lib/relay/call.h
+++ b/lib/relay/call.h
@@ -110,6 +110,9 @@
   bool is_retry = false;
   /// The call belongs to a retried request; counts as a retry at its target.
   bool parent_is_retry = false;
+  /// Whether the caller may repeat its request, to which the call belongs, once
+  /// it has started.
+  admission::RequestKind caller_kind = admission::RequestKind::kRepeatable;
   /// Start of the caller's request to which the call belongs.
   support::TimePoint requested_at;
   /// The caller's deadline or the route's timeout, whichever is earlier.
@@ -135,7 +138,8 @@
   bool reached_target = false;
   /// The target failed because one of its own calls failed.
   bool downstream_call_failed = false;
-  /// Worst outcome among the calls that the target made.
+  /// Worst outcome among the calls that the target made. For a request that the
+  /// target has rejected, kRejectedWithFreeSlots states that it had free slots.
   admission::DownstreamOutcome worst_call_outcome =
       admission::DownstreamOutcome::kServed;
   /// Service without a target in service to which the request or one of its
--- a/lib/relay/peer_protocol.cc
+++ b/lib/relay/peer_protocol.cc
@@ -14,6 +14,7 @@
 namespace {
 
 namespace http = stream::http;
+using admission::DownstreamOutcome;
 using std::chrono::milliseconds;
 
 // Both directions use a single header, since the calls between targets are
@@ -22,14 +23,18 @@
 constexpr const char* kPeerHeader = "yc";
 constexpr char kSeparator = '\t';
 // Deadline in ms, queue time in ms, importance, rank, depth, idempotent, is
-// retry, parent is retry, age of the caller's request in ms.
-constexpr std::size_t kCallNumberCount = 9;
+// retry, parent is retry, age of the caller's request in ms; caller may not
+// repeat, which relays of earlier versions omit.
+constexpr std::size_t kCallNumberCount = 10;
+constexpr std::size_t kRequiredCallNumberCount = 9;
 // Numbers, request id, service, route, organisation, caller service.
 constexpr std::size_t kCallPartCount = 6;
 // Outcome, status of the target, reached target, retry after in ms, running,
 // queued, limit, state, downstream call failed, worst call outcome, downstream
-// overloaded.
-constexpr std::size_t kResultNumberCount = 11;
+// overloaded; rejecting targets had free slots, which relays of earlier
+// versions omit.
+constexpr std::size_t kResultNumberCount = 12;
+constexpr std::size_t kRequiredResultNumberCount = 11;
 // The reason and the missing service follow if they are set. White space at the
 // end of a header is removed in transit, so a part that may be empty must not
 // be last.
@@ -45,13 +50,18 @@
   return text;
 }
 
-template <std::size_t kCount>
+/// Returns nothing unless the first kRequired numbers are there. Others are 0
+/// if they are missing.
+template <std::size_t kRequired, std::size_t kCount>
 std::optional<std::array<std::int64_t, kCount>> ParseNumbers(
     std::string_view text) {
   std::array<std::int64_t, kCount> numbers{};
   const char* at = text.data();
   const char* const end = text.data() + text.size();
-  for (std::int64_t& number : numbers) {
+  for (std::size_t i = 0; i < kCount; ++i) {
+    if (i >= kRequired && at == end)
+      break;
+    std::int64_t& number = numbers[i];
     const auto parsed = std::from_chars(at, end, number);
     if (parsed.ec != std::errc())
       return std::nullopt;
@@ -80,6 +90,40 @@
   return parts;
 }
 
+/// Returns the number of an outcome in a header. Relays of earlier versions
+/// know no rejections with free slots, which a number of their own states.
+std::int64_t EncodeOutcome(DownstreamOutcome outcome) {
+  switch (outcome) {
+    case DownstreamOutcome::kServed:
+      return 0;
+    case DownstreamOutcome::kServedAtCapacity:
+      return 1;
+    case DownstreamOutcome::kRejectedWithFreeSlots:
+    case DownstreamOutcome::kRejected:
+      return 2;
+    case DownstreamOutcome::kNoCapacity:
+      return 3;
+  }
+  return -1;
+}
+
+std::optional<DownstreamOutcome> DecodeOutcome(std::int64_t number,
+                                               bool with_free_slots) {
+  switch (number) {
+    case 0:
+      return DownstreamOutcome::kServed;
+    case 1:
+      return DownstreamOutcome::kServedAtCapacity;
+    case 2:
+      return with_free_slots ? DownstreamOutcome::kRejectedWithFreeSlots
+                             : DownstreamOutcome::kRejected;
+    case 3:
+      return DownstreamOutcome::kNoCapacity;
+    default:
+      return std::nullopt;
+  }
+}
+
 }  // namespace
 
 void RemovePeerHeaders(stream::Fields& fields) {
@@ -92,7 +136,8 @@
       {RemainingTime(call.deadline, now).count(),
        RemainingTime(call.queue_deadline, now).count(), call.importance,
        call.rank, call.depth, call.idempotent, call.is_retry,
-       call.parent_is_retry, RemainingTime(now, call.requested_at).count()});
+       call.parent_is_retry, RemainingTime(now, call.requested_at).count(),
+       call.caller_kind == admission::RequestKind::kUnrepeatable});
   for (const std::string* part : {&call.request_id, &call.service, &call.route,
                                   &call.organisation, &call.caller_service}) {
     text += kSeparator;
@@ -109,11 +154,12 @@
   if (!parts)
     return false;
   auto& [text, request_id, service, route, organisation, caller] = *parts;
-  const auto numbers = ParseNumbers<kCallNumberCount>(text);
+  const auto numbers =
+      ParseNumbers<kRequiredCallNumberCount, kCallNumberCount>(text);
   if (!numbers || request_id.empty() || service.empty())
     return false;
   const auto [deadline, queue, importance, rank, depth, idempotent, is_retry,
-              parent_is_retry, age] = *numbers;
+              parent_is_retry, age, unrepeatable] = *numbers;
   if (!wire::Importance_IsValid(static_cast<int>(importance)))
     return false;
   call.request_id = std::move(request_id);
@@ -130,6 +176,8 @@
   call.idempotent = idempotent != 0;
   call.is_retry = is_retry != 0;
   call.parent_is_retry = parent_is_retry != 0;
+  call.caller_kind = unrepeatable != 0 ? admission::RequestKind::kUnrepeatable
+                                       : admission::RequestKind::kRepeatable;
   RemovePeerHeaders(head);
   stream::RemoveHopByHop(head);
   call.head = std::move(head);
@@ -145,8 +193,8 @@
       {result.outcome, head.result_int(), result.reached_target,
        result.retry_after.count(), load.running(), load.queued(), load.limit(),
        load.state(), result.downstream_call_failed,
-       static_cast<std::int64_t>(result.worst_call_outcome),
-       result.downstream_overloaded});
+       EncodeOutcome(result.worst_call_outcome), result.downstream_overloaded,
+       result.worst_call_outcome == DownstreamOutcome::kRejectedWithFreeSlots});
   if (!result.reason.empty() || !result.missing_service.empty())
     text += kSeparator + result.reason;
   if (!result.missing_service.empty())
@@ -159,24 +207,24 @@
   const auto value = head[kPeerHeader];
   const std::string_view text(value.data(), value.size());
   const std::size_t end = std::min(text.find(kSeparator), text.size());
-  const auto numbers = ParseNumbers<kResultNumberCount>(text.substr(0, end));
+  const auto numbers =
+      ParseNumbers<kRequiredResultNumberCount, kResultNumberCount>(
+          text.substr(0, end));
   if (!numbers)
     return false;
   const auto [outcome, status, reached, retry_after, running, queued, limit,
               state, downstream_call_failed, worst_call_outcome,
-              downstream_overloaded] = *numbers;
+              downstream_overloaded, with_free_slots] = *numbers;
+  const auto call_outcome =
+      DecodeOutcome(worst_call_outcome, with_free_slots != 0);
   if (!wire::Outcome_IsValid(static_cast<int>(outcome)) ||
-      !wire::TargetState_IsValid(static_cast<int>(state)) ||
-      worst_call_outcome < 0 ||
-      worst_call_outcome > static_cast<std::int64_t>(
-                               admission::DownstreamOutcome::kNoCapacity) ||
+      !wire::TargetState_IsValid(static_cast<int>(state)) || !call_outcome ||
       status != head.result_int())
     return false;
   result.outcome = static_cast<wire::Outcome>(outcome);
   result.reached_target = reached != 0;
   result.downstream_call_failed = downstream_call_failed != 0;
-  result.worst_call_outcome =
-      static_cast<admission::DownstreamOutcome>(worst_call_outcome);
+  result.worst_call_outcome = *call_outcome;
   result.downstream_overloaded = downstream_overloaded != 0;
   result.retry_after = milliseconds(retry_after);
   const std::string_view rest = text.substr(std::min(end + 1, text.size()));
--- a/lib/relay/request_handler.cc
+++ b/lib/relay/request_handler.cc
@@ -16,6 +16,7 @@
 namespace {
 
 namespace http = stream::http;
+using admission::DownstreamOutcome;
 using std::chrono::milliseconds;
 using stream::Task;
 
@@ -164,6 +165,8 @@
   }
   call.route = request.route->name();
   call.idempotent = request.route->idempotent();
+  call.caller_kind = call.idempotent ? admission::RequestKind::kRepeatable
+                                     : admission::RequestKind::kUnrepeatable;
   call.importance = ImportanceOf(request.route->rank());
   call.rank = request.route->rank();
   SetDeadlines(announced, request);
@@ -209,6 +212,7 @@
   call.importance = request.parent->importance;
   call.rank = request.parent->rank;
   call.depth = request.parent->depth + 1;
+  call.caller_kind = request.parent->caller_kind;
   call.requested_at = request.parent->requested_at;
   call.parent_is_retry = request.parent->is_retry;
 }
@@ -273,6 +277,10 @@
     }
     if (result.reached_target) {
       ++request.reached_targets;
+      request.rejecting_targets_with_free_slots +=
+          result.outcome == wire::OUTCOME_NOT_RUN &&
+          result.worst_call_outcome ==
+              DownstreamOutcome::kRejectedWithFreeSlots;
       call.is_retry = true;
     }
     if (result.outcome != wire::OUTCOME_NOT_RUN)
--- a/lib/relay/request_handler.h
+++ b/lib/relay/request_handler.h
@@ -76,6 +76,8 @@
     // Targets that were chosen, and how many of them received the request.
     std::vector<std::string> tried_targets;
     std::uint32_t reached_targets = 0;
+    // Of those, how many rejected it although they had free slots.
+    std::uint32_t rejecting_targets_with_free_slots = 0;
     std::vector<AttemptRecord> attempts;
     // If no target could be chosen: the known members with the reasons for
     // their exclusion.
@@ -129,8 +131,9 @@
       const Request& request) const;
   Rejection RejectionFor(const Request& request,
                          const CallResult& result) const;
+  static admission::DownstreamOutcome RejectionOf(const Request& request);
   /// Records the outcome of \p request in the request that made it as a call.
-  static void RecordOutcomeInParent(const Request& request, unsigned status);
+  void RecordOutcomeInParent(const Request& request, unsigned status);
   void RecordOutcome(const Request& request,
                      unsigned status,
                      const std::string& reason);
--- a/lib/relay/request_response.cc
+++ b/lib/relay/request_response.cc
@@ -151,6 +151,19 @@
   co_await exchange.RespondText(std::move(head), rejection.reason + "\n");
 }
 
+/// Returns what the rejection of \p request says about the load of its service.
+admission::DownstreamOutcome RequestHandler::RejectionOf(
+    const Request& request) {
+  using admission::DownstreamOutcome;
+  if (request.rejected_for_capacity)
+    return DownstreamOutcome::kNoCapacity;
+  const bool all_had_free_slots =
+      request.reached_targets > 0 &&
+      request.rejecting_targets_with_free_slots == request.reached_targets;
+  return all_had_free_slots ? DownstreamOutcome::kRejectedWithFreeSlots
+                            : DownstreamOutcome::kRejected;
+}
+
 void RequestHandler::RecordOutcomeInParent(const Request& request,
                                            unsigned status) {
   using admission::DownstreamOutcome;
@@ -160,8 +173,11 @@
   if (served)
     end = std::min(end, DownstreamOutcome::kServedAtCapacity);
   else if (status == 429 || status == 503 || status == 504)
-    end = request.rejected_for_capacity ? DownstreamOutcome::kNoCapacity
-                                        : DownstreamOutcome::kRejected;
+    end = RejectionOf(request);
+  // A failure of the target itself says nothing about its load.
+  if (served || end >= DownstreamOutcome::kRejectedWithFreeSlots)
+    deps_.target.call_throttle().OnCallEnd(parent.route, request.call.service,
+                                           end);
   parent.worst_call_outcome = std::max(parent.worst_call_outcome, end);
   parent.downstream_call_failed |= !served;
   if (!served && !request.missing_service.empty())
--- a/lib/relay/running_requests.h
+++ b/lib/relay/running_requests.h
@@ -27,6 +27,7 @@
   wire::Importance importance = wire::IMPORTANCE_NORMAL;
   std::uint32_t rank = 0;
   std::uint32_t depth = 1;
+  admission::RequestKind caller_kind = admission::RequestKind::kRepeatable;
   /// The request is a retry, or a call of one: it may have run before.
   bool is_retry = false;
   /// A call that the target made for this request has failed.
--- a/lib/relay/target_exchange.cc
+++ b/lib/relay/target_exchange.cc
@@ -192,10 +192,14 @@
   end = ExchangeOutcome::kComplete;
   if (status == 421 || head.find(names_.not_run) != head.end()) {
     end = status == 503 ? ExchangeOutcome::kShed : ExchangeOutcome::kCancelled;
-    RecordRejection(HasFreeSlots());
+    const bool had_free_slots = HasFreeSlots();
+    RecordRejection(had_free_slots);
     CallResult result = CallResult::NotRun(
         "the target did not run the request: status " + std::to_string(status));
     result.reached_target = true;
+    if (status == 503 && had_free_slots)
+      result.worst_call_outcome =
+          admission::DownstreamOutcome::kRejectedWithFreeSlots;
     result.retry_after = kDefaultRetryAfter;
     return result;
   }
--- a/lib/relay/target_proxy.cc
+++ b/lib/relay/target_proxy.cc
@@ -239,10 +239,24 @@
   return rejection;
 }
 
+/// Returns the reason for which requests of \p route are throttled. Each begins
+/// with the same words, which tools look for.
+std::string TargetProxy::ThrottleReason(const std::string& route) const {
+  const std::string reason = "calls of such requests are turned away";
+  switch (throttle_.ReductionCause(route)) {
+    case admission::DownstreamOutcome::kNoCapacity:
+      return reason + " for lack of capacity";
+    case admission::DownstreamOutcome::kRejectedWithFreeSlots:
+      return reason + " by targets with free slots";
+    default:
+      return reason;
+  }
+}
+
 CallResult TargetProxy::ThrottledResult(const RelayCall& call) const {
   const std::string missing = throttle_.MissingService(call.route);
   CallResult rejection = CallResult::NotRun(
-      missing.empty() ? "calls of such requests are turned away"
+      missing.empty() ? ThrottleReason(call.route)
                       : "a service that such requests call has no target in "
                         "service");
   rejection.missing_service = missing;
@@ -300,6 +314,7 @@
                        .importance = call.importance,
                        .rank = call.rank,
                        .depth = call.depth,
+                       .caller_kind = call.caller_kind,
                        .is_retry = call.is_retry || call.parent_is_retry});
     running_requests_.Add(running);
     if (State() == wire::TARGET_STATE_RETIRING)
@@ -308,10 +323,11 @@
     running_requests_.Remove(running);
     result.downstream_call_failed = running->downstream_call_failed;
     result.missing_service = running->missing_service;
-    result.worst_call_outcome = running->worst_call_outcome;
+    result.worst_call_outcome =
+        std::max(result.worst_call_outcome, running->worst_call_outcome);
     if (call.depth <= 1 && !call.cancellation.requested()) {
       throttle_.OnRequestEnd(call.route, running->worst_call_outcome,
-                             running->missing_service);
+                             running->missing_service, call.caller_kind);
       RecordAdmittedShare(call.route);
     }
   }
@@ -330,13 +346,16 @@
   co_return result;
 }
 
-/// Logs when throttling of a route begins and when it ends.
+/// Logs when throttling of a route begins, when it is suspended, and when it
+/// ends.
 void TargetProxy::RecordAdmittedShare(const std::string& route) {
   const auto held = throttled_since_.find(route);
   const double share = throttle_.AdmittedShare(route);
   if (share < 1 && held == throttled_since_.end()) {
     throttled_since_.emplace(route, clock_.Now());
-    support::LogInfo("throttle.reduced", {{"route", route}, {"share", share}});
+    support::LogInfo("throttle.reduced", {{"route", route},
+                                          {"share", share},
+                                          {"reason", ThrottleReason(route)}});
   } else if (share >= 1 && held != throttled_since_.end()) {
     const auto lasted =
         std::chrono::duration_cast<milliseconds>(clock_.Now() - held->second);
@@ -345,6 +364,12 @@
     metrics_.Observe("yuccastair_throttle_seconds", {{"route", route}}, lasted);
     throttled_since_.erase(held);
   }
+  if (!throttle_.IsSuspended(route)) {
+    suspended_routes_.erase(route);
+  } else if (suspended_routes_.insert(route).second) {
+    support::LogInfo("throttle.suspended", {{"route", route}});
+    metrics_.Count("yuccastair_throttle_suspensions_total", {{"route", route}});
+  }
 }
 
 void TargetProxy::FinishCall(std::uint64_t id, ExchangeOutcome end) {
--- a/lib/relay/target_proxy.h
+++ b/lib/relay/target_proxy.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -132,6 +133,7 @@
   void RecordAdmittedShare(const std::string& route);
   void FinishCall(std::uint64_t id, admission::ExchangeOutcome end);
   stream::http::header<true> MakeTargetHead(const RelayCall& call) const;
+  std::string ThrottleReason(const std::string& route) const;
   CallResult ThrottledResult(const RelayCall& call) const;
   CallResult RejectedResult(const RelayCall& call,
                             const admission::Decision& decision) const;
@@ -154,6 +156,8 @@
   Rejections rejections_;
   // Routes that are throttled, and since when.
   std::unordered_map<std::string, support::TimePoint> throttled_since_;
+  // Routes whose throttling is suspended because it has not helped.
+  std::unordered_set<std::string> suspended_routes_;
   std::uint32_t consecutive_failures_ = 0;
   CrashMonitor crash_monitor_;
   // The process that WatchProcess() observes; empty if none.
--- a/unittests/admission/throttle_effect_test.cc
+++ b/unittests/admission/throttle_effect_test.cc
@@ -168,5 +168,64 @@
   CHECK(sound.served == sound.sent);
 }
 
+constexpr auto kRejectedWithFreeSlots =
+    DownstreamOutcome::kRejectedWithFreeSlots;
+
+/// Ends \p count requests, 10 ms apart, whose calls of "deep" end with \p
+/// outcome.
+void EndRequests(support::ManualClock& clock,
+                 CallThrottle& throttle,
+                 int count,
+                 DownstreamOutcome outcome,
+                 RequestKind kind) {
+  for (int i = 0; i < count; ++i) {
+    clock.Advance(10ms);
+    throttle.OnCallEnd("r", "deep", outcome);
+    throttle.OnRequestEnd("r", outcome, "", kind);
+  }
+}
+
+// Guards against repeatable requests that are held back although some of them
+// would succeed.
+TEST_CASE("rejections with free slots throttle unrepeatable requests only") {
+  support::ManualClock clock;
+  CallThrottle repeatable(clock);
+  EndRequests(clock, repeatable, 400, kRejectedWithFreeSlots,
+              RequestKind::kRepeatable);
+  CHECK(repeatable.AdmittedShare("r") == 1);
+  CallThrottle unrepeatable(clock);
+  EndRequests(clock, unrepeatable, 400, kRejectedWithFreeSlots,
+              RequestKind::kUnrepeatable);
+  CHECK(unrepeatable.AdmittedShare("r") < 0.1);
+  CHECK(unrepeatable.ReductionCause("r") == kRejectedWithFreeSlots);
+}
+
+// Guards against requests that are held back for seconds after the end of
+// rejections that other requests have seen.
+TEST_CASE("calls of other requests show that rejections are over") {
+  support::ManualClock clock;
+  CallThrottle throttle(clock);
+  EndRequests(clock, throttle, 400, kRejectedWithFreeSlots,
+              RequestKind::kUnrepeatable);
+  for (std::uint32_t i = 0; i < CallThrottle::kServedCallsOfRecovery; ++i) {
+    CHECK(throttle.AdmittedShare("r") < 1);
+    throttle.OnCallEnd("other", "deep", DownstreamOutcome::kServed);
+  }
+  CHECK(throttle.Admit("r", wire::IMPORTANCE_NORMAL));
+  CHECK(throttle.AdmittedShare("r") == 1);
+}
+
+// Guards against an overload that returns with each call that is served.
+TEST_CASE("served calls do not end the throttling of a shortage") {
+  support::ManualClock clock;
+  CallThrottle throttle(clock);
+  EndRequests(clock, throttle, 400, DownstreamOutcome::kNoCapacity,
+              RequestKind::kUnrepeatable);
+  for (std::uint32_t i = 0; i < CallThrottle::kServedCallsOfRecovery; ++i)
+    throttle.OnCallEnd("other", "deep", DownstreamOutcome::kServed);
+  throttle.Admit("r", wire::IMPORTANCE_NORMAL);
+  CHECK(throttle.AdmittedShare("r") < 0.2);
+}
+
 }  // namespace
 }  // namespace yuccastair::admission
--- a/unittests/relay/entry_test.cc
+++ b/unittests/relay/entry_test.cc
@@ -397,6 +397,12 @@
   failed_without_target.missing_service = "away";
   CallResult rejected_by_target = CallResult::NotRun("status 503");
   rejected_by_target.reached_target = true;
+  CallResult rejected_with_free_slots = rejected_by_target;
+  rejected_with_free_slots.worst_call_outcome =
+      DownstreamOutcome::kRejectedWithFreeSlots;
+  CallResult failed_below_free_slots = failed_downstream;
+  failed_below_free_slots.worst_call_outcome =
+      DownstreamOutcome::kRejectedWithFreeSlots;
   const CallResult rejected = CallResult::NotRun("the queue is full");
   struct Row {
     const char* name;
@@ -418,6 +424,11 @@
        DownstreamOutcome::kNoCapacity, true, "away"},
       {"rejected by the target", rejected_by_target,
        DownstreamOutcome::kRejected, true},
+      {"rejected by a target with free slots", rejected_with_free_slots,
+       DownstreamOutcome::kRejectedWithFreeSlots, true},
+      {"failed as a target with free slots rejected a call",
+       failed_below_free_slots, DownstreamOutcome::kRejectedWithFreeSlots,
+       true},
       {"rejected for lack of capacity", rejected,
        DownstreamOutcome::kNoCapacity, true}};
   for (const Row& row : rows) {
--- a/unittests/relay/peer_protocol_test.cc
+++ b/unittests/relay/peer_protocol_test.cc
@@ -102,6 +102,40 @@
   CHECK(got.worst_call_outcome == admission::DownstreamOutcome::kNoCapacity);
 }
 
+// Guards against calls that fail while relays of two versions run.
+TEST_CASE("numbers that an earlier version omits are optional") {
+  const support::TimePoint now(1h);
+  RelayCall sent_call = MakeCall(now);
+  sent_call.caller_kind = admission::RequestKind::kUnrepeatable;
+  http::header<true> call_head = EncodeCall(sent_call, now);
+  RelayCall got_call;
+  REQUIRE(DecodeCall(call_head, now, got_call));
+  CHECK(got_call.caller_kind == admission::RequestKind::kUnrepeatable);
+  const std::string call_text(call_head["yc"]);
+  const std::size_t numbers_end = call_text.find('\t');
+  call_head.set("yc", call_text.substr(0, call_text.rfind(',', numbers_end)) +
+                          call_text.substr(numbers_end));
+  RelayCall earlier_call;
+  REQUIRE(DecodeCall(call_head, now, earlier_call));
+  CHECK(earlier_call.caller_kind == admission::RequestKind::kRepeatable);
+  CHECK(earlier_call.requested_at == sent_call.requested_at);
+
+  CallResult sent = CallResult::NotRun("x");
+  sent.worst_call_outcome =
+      admission::DownstreamOutcome::kRejectedWithFreeSlots;
+  http::header<false> head = EncodeResult(sent);
+  CallResult got;
+  REQUIRE(DecodeResult(head, got));
+  CHECK(got.worst_call_outcome ==
+        admission::DownstreamOutcome::kRejectedWithFreeSlots);
+  const std::string text(head["yc"]);
+  head.set("yc", text.substr(0, text.rfind(',')) + "\tx");
+  CallResult earlier;
+  REQUIRE(DecodeResult(head, earlier));
+  CHECK(earlier.worst_call_outcome == admission::DownstreamOutcome::kRejected);
+  CHECK(earlier.reason == "x");
+}
+
 TEST_CASE("an outcome with an unknown call outcome is invalid") {
   CallResult sent = CallResult::NotRun("x");
   sent.worst_call_outcome = static_cast<admission::DownstreamOutcome>(
