Take calls on the same route for the end of rejections, and not twice at once

Found by reading: the return of a held back route counted served calls of any kind to the same service, so calls that do not need the rejecting targets could have restored the route again and again. Calls on the route of the rejected call count now, and a route returns so once in 8 s. A target that announces no slots is not taken to have free ones, and rejections with free slots do not hide a lack of capacity that repeatable requests meet beside them.

A case of admission_throttle_effect_test covers the pause.

--- a/include/yuccastair/admission/call_throttle.h
+++ b/include/yuccastair/admission/call_throttle.h
@@ -92,9 +92,12 @@
   /// 1 because the first targets may be few or cold.
   static constexpr double kMinShareOnReturn = 0.5;
 
-  /// Consecutive calls to a service that are served, by whichever request they
-  /// are made, until its rejections with free slots are over.
+  /// Consecutive calls on a route that are served, whichever requests make
+  /// them, until rejections with free slots are taken to be over.
   static constexpr std::uint32_t kServedCallsOfRecovery = 24;
+  /// Minimum time between two such returns of a route. The calls of other
+  /// requests may be served though its own are not.
+  static constexpr std::chrono::seconds kMinRecoveryInterval{8};
 
   explicit CallThrottle(const support::Clock& clock) : clock_(clock) {}
 
@@ -121,10 +124,10 @@
   /// Returns whether a new request may enter the queue of the target.
   bool Admit(const std::string& route, wire::Importance importance);
 
-  /// Records the outcome of a call to \p service that a request of \p route has
-  /// made, which need not be a request of a caller.
+  /// Records the outcome of a call on \p call_route that a request of \p route
+  /// has made, which need not be a request of a caller.
   void OnCallEnd(const std::string& route,
-                 const std::string& service,
+                 const std::string& call_route,
                  DownstreamOutcome outcome);
 
   /// Records the outcome of an admitted request that the target has answered.
@@ -175,8 +178,9 @@
     // The most frequent cause of the rejections that last reduced the share. If
     // the targets had free slots, the requests held back find room.
     DownstreamOutcome cause = DownstreamOutcome::kServed;
-    // The service whose targets have last rejected a call so; empty if none.
-    std::string rejecting_service;
+    // The route of the call that was last rejected so; empty if none.
+    std::string rejected_call;
+    support::TimePoint next_recovery_at{};
     // Empty unless the route waits for a service.
     std::string missing_service;
     // Whether requests that end tell nothing about the wait, because it began
@@ -212,7 +216,7 @@
                         RouteState& route,
                         DownstreamOutcome outcome,
                         const std::string& missing_service);
-  bool IsRecovered(const RouteState& route) const;
+  void RestoreIfRecovered(RouteState& route) const;
   bool IsAdjustmentDue(const RouteState& route) const;
   void AdjustShare(RouteState& route) const;
   void ResetInterval(RouteState& route) const;
@@ -230,8 +234,8 @@
 
   const support::Clock& clock_;
   std::unordered_map<std::string, RouteState> routes_;
-  // Consecutive calls that were served, for services that have rejected calls
-  // with free slots; up to kServedCallsOfRecovery.
+  // Consecutive calls that were served, by their route, for routes of which
+  // calls have been rejected; up to kServedCallsOfRecovery.
   std::unordered_map<std::string, std::uint32_t> served_calls_;
   RouteNeeds known_needs_;
   RouteNeeds learnt_needs_;
--- a/lib/admission/call_throttle.cc
+++ b/lib/admission/call_throttle.cc
@@ -64,12 +64,7 @@
   RouteState& route = found->second;
   if (!route.missing_service.empty() && !AdmitWhileWaiting(route))
     return false;
-  if (route.share < 1 && IsRecovered(route)) {
-    route.share = 1;
-    route.rejecting_intervals = 0;
-    route.admitted.fill(route.share);
-    ResetInterval(route);
-  }
+  RestoreIfRecovered(route);
   const auto rank = static_cast<std::size_t>(importance);
   ++route.arrived[rank];
   if (route.share >= 1)
@@ -82,28 +77,38 @@
 }
 
 void CallThrottle::OnCallEnd(const std::string& route,
-                             const std::string& service,
+                             const std::string& call_route,
                              DownstreamOutcome outcome) {
   if (IsRejection(outcome)) {
+    const auto tracked = routes_.find(route);
     if (outcome == DownstreamOutcome::kRejectedWithFreeSlots &&
-        routes_.contains(route))
-      routes_[route].rejecting_service = service;
-    served_calls_[service] = 0;
+        tracked != routes_.end())
+      tracked->second.rejected_call = call_route;
+    if (served_calls_.size() < kMaxTrackedRoutes ||
+        served_calls_.contains(call_route))
+      served_calls_[call_route] = 0;
     return;
   }
-  const auto found = served_calls_.find(service);
+  const auto found = served_calls_.find(call_route);
   if (outcome == DownstreamOutcome::kServed && found != served_calls_.end())
     found->second = std::min(found->second + 1, kServedCallsOfRecovery);
 }
 
-/// Returns whether the share was reduced by rejections with free slots that are
-/// over.
-bool CallThrottle::IsRecovered(const RouteState& route) const {
-  if (route.cause != DownstreamOutcome::kRejectedWithFreeSlots)
-    return false;
-  const auto found = served_calls_.find(route.rejecting_service);
-  return found != served_calls_.end() &&
-         found->second >= kServedCallsOfRecovery;
+/// Restores the share if rejections with free slots that reduced it are over.
+/// The requests that are held back find room then.
+void CallThrottle::RestoreIfRecovered(RouteState& route) const {
+  if (route.share >= 1 ||
+      route.cause != DownstreamOutcome::kRejectedWithFreeSlots ||
+      clock_.Now() < route.next_recovery_at)
+    return;
+  const auto found = served_calls_.find(route.rejected_call);
+  if (found == served_calls_.end() || found->second < kServedCallsOfRecovery)
+    return;
+  route.next_recovery_at = clock_.Now() + kMinRecoveryInterval;
+  route.share = 1;
+  route.rejecting_intervals = 0;
+  route.admitted.fill(route.share);
+  ResetInterval(route);
 }
 
 /// Returns whether to admit a request of a waiting route. Ends the wait if the
@@ -205,10 +210,13 @@
 }
 
 DownstreamOutcome CallThrottle::CauseOfRejections(const RouteState& route) {
-  if (2 * route.with_free_slots > route.rejected)
-    return DownstreamOutcome::kRejectedWithFreeSlots;
-  return 2 * route.without_capacity > route.rejected
-             ? DownstreamOutcome::kNoCapacity
+  const ReductionCheck::Interval requests = RelevantRequests(route);
+  const std::uint32_t rejected = requests.ended - requests.served;
+  if (2 * route.without_capacity > rejected)
+    return DownstreamOutcome::kNoCapacity;
+  return route.kind == RequestKind::kUnrepeatable &&
+                 2 * route.with_free_slots > rejected
+             ? DownstreamOutcome::kRejectedWithFreeSlots
              : DownstreamOutcome::kRejected;
 }
 
@@ -273,7 +281,7 @@
   }
   double share = route.share * ShareFactor(route);
   const bool unexplained = route.rejected > route.with_free_slots &&
-                           2 * route.without_capacity <= route.rejected;
+                           route.cause == DownstreamOutcome::kRejected;
   if (route.kind == RequestKind::kRepeatable && unexplained)
     share = CheckedShare(route, share);
   route.share = std::clamp(share, route.min_share, 1.0);
--- a/lib/admission/reduction_check.cc
+++ b/lib/admission/reduction_check.cc
@@ -51,8 +51,7 @@
   // had not changed.
   const double expected =
       SuccessRate(reference_->served, reference_->ended) * reduced_.ended;
-  const double reduction =
-      reference_->share * reduced_.ended / std::max(reduced_.shares, 1e-9);
+  const double reduction = reference_->share * reduced_.ended / reduced_.shares;
   return reduced_.served >= kMinKeptSuccesses * reduction * expected &&
          reduced_.served >= expected + kSignificance * std::sqrt(expected + 1);
 }
--- a/lib/relay/request_response.cc
+++ b/lib/relay/request_response.cc
@@ -176,7 +176,7 @@
     end = RejectionOf(request);
   // A failure of the target itself says nothing about its load.
   if (served || end >= DownstreamOutcome::kRejectedWithFreeSlots)
-    deps_.target.call_throttle().OnCallEnd(parent.route, request.call.service,
+    deps_.target.call_throttle().OnCallEnd(parent.route, request.call.route,
                                            end);
   parent.worst_call_outcome = std::max(parent.worst_call_outcome, end);
   parent.downstream_call_failed |= !served;
--- a/lib/relay/target_exchange.cc
+++ b/lib/relay/target_exchange.cc
@@ -222,8 +222,11 @@
   return result;
 }
 
+/// Returns whether the target is known to have free slots.
 bool TargetProxy::HasFreeSlots() const {
-  return admission_.queued() == 0 &&
+  const Announcement* announced = tracker_.latest_announcement();
+  return announced != nullptr && announced->slots > 0 &&
+         admission_.queued() == 0 &&
          admission_.running() < kFreeSlotsMaxLoad * admission_.limit();
 }
 
--- a/unittests/admission/throttle_effect_test.cc
+++ b/unittests/admission/throttle_effect_test.cc
@@ -215,6 +215,21 @@
   CHECK(throttle.AdmittedShare("r") == 1);
 }
 
+// Guards against a route that is restored again and again by calls of other
+// requests while its own are rejected.
+TEST_CASE("a route is not restored again at once") {
+  support::ManualClock clock;
+  CallThrottle throttle(clock);
+  for (const bool restored : {true, false}) {
+    EndRequests(clock, throttle, 200, kRejectedWithFreeSlots,
+                RequestKind::kUnrepeatable);
+    for (std::uint32_t i = 0; i < CallThrottle::kServedCallsOfRecovery; ++i)
+      throttle.OnCallEnd("other", "deep", DownstreamOutcome::kServed);
+    throttle.Admit("r", wire::IMPORTANCE_NORMAL);
+    CHECK((throttle.AdmittedShare("r") == 1) == restored);
+  }
+}
+
 // Guards against an overload that returns with each call that is served.
 TEST_CASE("served calls do not end the throttling of a shortage") {
   support::ManualClock clock;
