--- a/lib/relay/target_proxy.cc
+++ b/lib/relay/target_proxy.cc
@@ -242,15 +242,13 @@
 /// Returns the reason for which requests of \p route are throttled. Each begins
 /// with the same words, which tools look for.
 std::string TargetProxy::ThrottleReason(const std::string& route) const {
-  const std::string reason = "calls of such requests are turned away";
-  switch (throttle_.ReductionCause(route)) {
-    case admission::DownstreamOutcome::kNoCapacity:
-      return reason + " for lack of capacity";
-    case admission::DownstreamOutcome::kRejectedWithFreeSlots:
-      return reason + " by targets with free slots";
-    default:
-      return reason;
-  }
+  std::string reason = "calls of such requests are turned away";
+  const auto cause = throttle_.ReductionCause(route);
+  if (cause == admission::DownstreamOutcome::kNoCapacity)
+    reason += " for lack of capacity";
+  else if (cause == admission::DownstreamOutcome::kRejectedWithFreeSlots)
+    reason += " by targets with free slots";
+  return reason;
 }
 
 CallResult TargetProxy::ThrottledResult(const RelayCall& call) const {
