--- a/unittests/admission/throttle_effect_test.cc
+++ b/unittests/admission/throttle_effect_test.cc
@@ -116,8 +116,7 @@
   return ThrottledRoute(false, seed).RunFor(time, service);
 }
 
-// Guards against a throttle that stays at its least share although fewer
-// requests end no rejection.
+// Guards against a throttle that stays at its least share to no effect.
 TEST_CASE("requests are not held back where fewer of them do not help") {
   const auto seed = GENERATE(range(std::uint64_t{1}, std::uint64_t{9}));
   ThrottledRoute route(true, seed);
@@ -185,8 +184,7 @@
   }
 }
 
-// Guards against repeatable requests that are held back although some of them
-// would succeed.
+// Guards against holding back repeatable requests that would succeed.
 TEST_CASE("rejections with free slots throttle unrepeatable requests only") {
   support::ManualClock clock;
   CallThrottle repeatable(clock);
@@ -200,8 +198,7 @@
   CHECK(unrepeatable.ReductionCause("r") == kRejectedWithFreeSlots);
 }
 
-// Guards against requests that are held back for seconds after the end of
-// rejections that other requests have seen.
+// Guards against requests that are held back for seconds after a fault.
 TEST_CASE("calls of other requests show that rejections are over") {
   support::ManualClock clock;
   CallThrottle throttle(clock);
@@ -215,8 +212,7 @@
   CHECK(throttle.AdmittedShare("r") == 1);
 }
 
-// Guards against a route that is restored again and again by calls of other
-// requests while its own are rejected.
+// Guards against a route that the calls of other requests keep restoring.
 TEST_CASE("a route is not restored again at once") {
   support::ManualClock clock;
   CallThrottle throttle(clock);
--- a/unittests/relay/target_proxy_test.cc
+++ b/unittests/relay/target_proxy_test.cc
@@ -105,8 +105,7 @@
   }
 }
 
-// Guards against a target that rejects calls at any load and passes for a full
-// one.
+// Guards against a target that rejects calls at any load and passes for full.
 TEST_CASE_METHOD(
     ProxyFixture,
     "a rejection by a target with free slots is told from others") {
--- a/unittests/routing/retry_policy_test.cc
+++ b/unittests/routing/retry_policy_test.cc
@@ -72,8 +72,7 @@
   CHECK_FALSE(share.TryTake());
 }
 
-// Guards against retries that are spent on requests which callers may repeat
-// while others fail for good.
+// Guards against unrepeatable requests that fail while others are retried.
 TEST_CASE("retries of unrepeatable requests go first") {
   RetryBudget budget(0.1, 3);
   int high = 0;
