Share the checks of the throttle simulations

Two cases and a part of a third compared the throttled requests with the unthrottled ones in the same way, and two others the failures in a shortage.

--- a/unittests/admission/throttle_effect_test.cc
+++ b/unittests/admission/throttle_effect_test.cc
@@ -116,34 +116,49 @@
   return ThrottledRoute(false, seed).RunFor(time, service);
 }
 
+/// Checks that most of the requests that succeed without the throttle succeed
+/// with it.
+void CheckKeepsSuccesses(ThrottledRoute& route,
+                         std::chrono::seconds time,
+                         const DeepService& service,
+                         std::uint64_t seed) {
+  const Counts throttled = route.RunFor(time, service);
+  const Counts unthrottled = UnthrottledFor(time, service, seed);
+  CAPTURE(seed, throttled.served, unthrottled.served);
+  CHECK(throttled.served > 0.6 * unthrottled.served);
+}
+
+/// Checks that a service that is short of room loses few calls to requests that
+/// fail.
+void CheckRelievesShortage(ThrottledRoute& route,
+                           std::chrono::seconds time,
+                           std::uint64_t seed) {
+  const Counts throttled = route.RunFor(time, kShort);
+  const Counts unthrottled = UnthrottledFor(time, kShort, seed);
+  CAPTURE(seed, throttled.served, throttled.failed, unthrottled.served,
+          unthrottled.failed);
+  CHECK(throttled.served >
+        0.5 * time.count() * kShort.calls_per_second / kCallsPerRequest);
+  CHECK(throttled.failed < 0.4 * unthrottled.failed);
+}
+
 // Guards against a throttle that stays at its least share to no effect.
 TEST_CASE("requests are not held back where fewer of them do not help") {
   const auto seed = GENERATE(range(std::uint64_t{1}, std::uint64_t{9}));
   ThrottledRoute route(true, seed);
-  const Counts throttled = route.RunFor(60s, kRejecting);
-  const Counts unthrottled = UnthrottledFor(60s, kRejecting, seed);
-  CAPTURE(seed, throttled.served, unthrottled.served);
-  CHECK(throttled.served > 0.6 * unthrottled.served);
+  CheckKeepsSuccesses(route, 60s, kRejecting, seed);
 }
 
 TEST_CASE("requests are held back where fewer of them help") {
   const auto seed = GENERATE(range(std::uint64_t{1}, std::uint64_t{9}));
   ThrottledRoute route(true, seed);
-  const Counts throttled = route.RunFor(60s, kShort);
-  const Counts unthrottled = UnthrottledFor(60s, kShort, seed);
-  CAPTURE(seed, throttled.served, throttled.failed, unthrottled.served,
-          unthrottled.failed);
-  CHECK(throttled.served > 0.5 * 60 * 140 / kCallsPerRequest);
-  CHECK(throttled.failed < 0.4 * unthrottled.failed);
+  CheckRelievesShortage(route, 60s, seed);
 }
 
 TEST_CASE("a shortage beside rejections at any load serves no less") {
   const auto seed = GENERATE(range(std::uint64_t{1}, std::uint64_t{9}));
   ThrottledRoute route(true, seed);
-  const Counts throttled = route.RunFor(60s, kRejectingAndShort);
-  const Counts unthrottled = UnthrottledFor(60s, kRejectingAndShort, seed);
-  CAPTURE(seed, throttled.served, unthrottled.served);
-  CHECK(throttled.served > 0.6 * unthrottled.served);
+  CheckKeepsSuccesses(route, 60s, kRejectingAndShort, seed);
 }
 
 // Guards against a throttle that keeps to what it found in an earlier fault.
@@ -152,18 +167,12 @@
   ThrottledRoute route(true, seed);
   route.RunFor(20s, kRejecting);
   route.RunFor(10s, kShort);
-  const Counts in_shortage = route.RunFor(30s, kShort);
-  const Counts unthrottled = UnthrottledFor(30s, kShort, seed);
-  CAPTURE(seed, in_shortage.served, in_shortage.failed, unthrottled.failed);
-  CHECK(in_shortage.served > 0.5 * 30 * 140 / kCallsPerRequest);
-  CHECK(in_shortage.failed < 0.4 * unthrottled.failed);
+  CheckRelievesShortage(route, 30s, seed);
   route.RunFor(10s, kRejecting);
-  const Counts rejected = route.RunFor(30s, kRejecting);
-  const Counts unthrottled_rejected = UnthrottledFor(30s, kRejecting, seed);
-  CAPTURE(rejected.served, unthrottled_rejected.served);
-  CHECK(rejected.served > 0.6 * unthrottled_rejected.served);
+  CheckKeepsSuccesses(route, 30s, kRejecting, seed);
   route.RunFor(2s, kSound);
   const Counts sound = route.RunFor(10s, kSound);
+  CAPTURE(seed);
   CHECK(sound.served == sound.sent);
 }
 
